Pace cold servers by the servers in service, not by all that are listed

Evidence: with the state of all servers printed at each refusal, the warm servers within reach were at their budgets with answers at the strain limit, and the cold ones had no call in flight, a budget of one to three and were closed by their pace alone, for ten seconds and longer.

Ruled out: failed trials and backoff (trials were free to go at nearly every refusal), and refusals as full (none in those stretches).

Cause: `Balancer::cold_gap` lets a call go to a cold server after so many answers that it gets its share of them, and took that share from the number of all servers held, those that drain and those set aside included. These give no answers, so with half the fleet cut off a cold server got half its share or less. It is now reckoned among the servers in service. How far below capacity a cold server is kept is as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -693,13 +693,15 @@
     /// that leaves it less than one call in flight from all.
     fn cold_gap(&self, now: Micros, server: &Server) -> (u64, Micros) {
         let rules = &self.settings.rules;
-        let (warmth, size) = (server.warmth(now, rules), self.servers.len().max(1) as f64);
+        let warmth = server.warmth(now, rules);
         if warmth >= 1.0 {
             return (0, 0);
         }
-        let up = self.servers.iter().filter(|s| s.listed);
-        let warm = up.map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
-        let share = (server.weight / warm).min(1.0 / size) * warmth;
+        // Answers come from servers in service alone: one that drains or is set aside gives none, and counted
+        // among them it would starve the cold ones just when they are needed.
+        let up = || self.servers.iter().filter(|s| s.listed && s.budget.steps > 0);
+        let warm = up().map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
+        let share = (server.weight / warm).min(1.0 / up().count().max(1) as f64) * warmth;
         ((1.0 / share) as u64, (self.longest_aim() * f64::from(self.settings.balancers) / warmth) as Micros)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,6 +198,27 @@
     }
 }
 
+/// How often a cold server is used for 200 answers, beside one warm server and `leaving` ones that drain.
+fn sends_to_cold_beside(leaving: u32) -> usize {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 1 + leaving);
+    let out: Vec<(CallId, ServerId)> = (0..=leaving).flat_map(|_| sent(&proxy.call().1)).collect();
+    let drain = |s: u32| Entry { state: State::Draining, ..ready(s) };
+    proxy.list(ListKind::Delta, (2..=1 + leaving).map(drain).collect());
+    for (call, _) in out.iter().filter(|call| call.1 == ServerId(1)) {
+        proxy.end(*call, 0, Outcome::Served, 10 * MS);
+    }
+    proxy.list(ListKind::Delta, vec![Entry { started: proxy.now, ..ready(99) }]);
+    (0..200).filter(|_| proxy.serve(10 * MS) == Some(ServerId(99))).count()
+}
+
+/// Servers that only finish what they hold give few answers, and none once it is done: counted among those that
+/// share the answers out, they left cold servers idle while the warm ones were full.
+#[test]
+fn a_cold_servers_part_is_reckoned_among_the_servers_in_service() {
+    let (alone, beside) = (sends_to_cold_beside(0), sends_to_cold_beside(9));
+    assert!(alone >= 5 && beside * 2 >= alone, "{alone} alone, {beside} beside nine that drain");
+}
+
 // Failures that were met.
 
 #[test]
