--- a/src/balance.rs
+++ b/src/balance.rs
@@ -677,8 +677,8 @@
             pool.charge(now, usual);
             pool.budget.trial_out |= trial == Trial::Pool;
         }
-        // It runs for as long as its client waits. Given up earlier, its server would work on all the same, but
-        // uncounted: the next call would take a place that is not free.
+        // It runs for as long as its client waits. Given up earlier, its server would work on all the same,
+        // but uncounted: the next call would take a place that is not free.
         actions.push(Action::Send { call: id, server });
         // The latest moment at which a second copy can still be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
