Break ties of the pick by data centre

The settings say which zone a balancer is in; `settings` did not read it, and the pick broke ties between servers with equally many calls by answer times alone. The difference in the way, milliseconds, is far below that in the servers' speed and never shows there.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -12,6 +12,8 @@
     balancers: u32,
     #[serde(default)]
     me: u32,
+    #[serde(default)]
+    locality: Option<String>,
     classes: Vec<ClassFacts>,
     #[serde(default)]
     tenants: Vec<TenantFacts>,
@@ -117,6 +119,7 @@
         me: facts.me,
         tick: facts.tick_us,
         ask: facts.discovery == "ask",
+        zone: facts.locality.as_deref().map(zone),
         classes,
         tenants: facts.tenants.iter().map(|t| Tenant { share: t.portion }).collect(),
         limits: Limits {
@@ -138,3 +141,17 @@
 pub fn zone(name: &str) -> ZoneId {
     ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_balancers_zone_is_the_one_that_entries_of_its_name_get() {
+        let mut facts = serde_json::json!({"balancers": 2, "classes": [], "limits": {},
+            "invariants": {"cold_from": 0.1, "cold_us": 1}});
+        assert_eq!(read(&facts).expect("settings").0.zone, None);
+        facts["locality"] = "split-dc".into();
+        assert_eq!(read(&facts).expect("settings").0.zone, Some(zone("split-dc")));
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -129,6 +129,8 @@
     pub tick: Micros,
     /// Whether news of the server list must be asked for.
     pub ask: bool,
+    /// The zone that this balancer is in; calls to others cost more and take longer. `None`: not told.
+    pub zone: Option<ZoneId>,
     /// Classes of calls.
     pub classes: Vec<Class>,
     /// Tenants, if there are any.
@@ -150,6 +152,7 @@
             me: 0,
             tick: 1_000,
             ask: false,
+            zone: None,
             classes: vec![Class { aim: 500_000, deadline: 1_000_000, worth: 1.0, late_value: 0.0, repeat }],
             tenants: Vec::new(),
             limits: Limits {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -648,7 +648,7 @@
         (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
     }
 
-    /// The less loaded of two random ones by own calls in flight; the recent past breaks ties.
+    /// The less loaded of two random ones by own calls in flight; then the near one, then the recent past.
     fn two_choices(&mut self, among: &[usize]) -> Option<usize> {
         let len = among.len() as u64;
         let first = self.below(len);
@@ -656,7 +656,11 @@
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
         let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.strain };
-        let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
+        let far = |s: &Server| self.settings.zone.is_some_and(|zone| zone != s.zone);
+        let load = |i: usize| {
+            let server = &self.servers[i];
+            (server.in_flight, far(server), tie(server))
+        };
         Some(if load(b) < load(a) { b } else { a })
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -158,6 +158,21 @@
     assert!(shunned > 300, "a quick refusal is not a quick answer: {shunned}");
 }
 
+/// Calls to another zone cost more and take longer: of two servers with as many calls, the near one is taken, also
+/// where the other answered faster.
+#[test]
+fn ties_go_to_the_balancers_own_zone() {
+    let (near, far) = (ZoneId(1), ZoneId(2));
+    let mut proxy = Proxy::new(Settings { zone: Some(near), ..settings(Repeat::SingleShot) }, 0);
+    let zoned = |id, zone| Entry { zone, ..ready(id) };
+    proxy.list(ListKind::Full, vec![zoned(1, far), zoned(2, near)]);
+    for _ in 0..20 {
+        assert_eq!(proxy.serve(40 * MS), Some(ServerId(2)));
+    }
+    assert_eq!(sent(&proxy.call().1)[0].1, ServerId(2));
+    assert_eq!(sent(&proxy.call().1)[0].1, ServerId(1), "it has fewer");
+}
+
 #[test]
 fn a_pick_at_full_budget_is_redrawn_among_servers_under_budget() {
     // One of twenty has room: two random choices alone would rarely meet it, and a trial would be needed.
