Let a server that turns away one class keep its budget for the others

Ruled out: full queues or too many connections (the same servers serve others on the same, kept connections; 86 of 88 refusals came on reused ones).

Cause: `Balancer::learn` charges a refusal to the server: its concurrency is cut, it pauses, its share of failures grows and it is set aside for all classes, while the class that it does turn away is drawn back as soon as it looks idle. A server now has a record by class: when it refused a class more than once and served calls of others sent after the first of these, only that class tries other servers first, under a backoff of its own.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::budget::{enough, Budget, Pool, BACKOFF_DOUBLINGS, CUT_MOST, RATE_MEMORY, SMOOTHING};
-use crate::state::{Attempt, Call, Pace, Route, Trial};
+use crate::state::{Attempt, Call, Manner, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -84,12 +84,49 @@
     /// While cold it is sent nothing before that many answers of this balancer, or before this time.
     cold_answers: u64,
     cold_until: Micros,
+    /// By class.
+    manners: Vec<Manner>,
 }
 
 impl Server {
-    fn new(entry: &Entry, balancers: u32) -> Self {
+    fn new(entry: &Entry, settings: &Settings) -> Self {
         let &Entry { server: id, zone, cell, started, .. } = entry;
-        Server { id, zone, cell, started, weight: 1.0, budget: Budget::new(balancers), ..Server::default() }
+        let (budget, weight) = (Budget::new(settings.balancers), 1.0);
+        let manners = vec![Manner::default(); settings.classes.len()];
+        Server { id, zone, cell, started, weight, budget, manners, ..Server::default() }
+    }
+
+    fn takes(&self, class_id: usize, now: Micros) -> bool {
+        self.manners.get(class_id).is_none_or(|m| now >= m.not_before)
+    }
+
+    /// Notes what became of a call of a class, and tells whether the server turns that class alone away: it
+    /// refused more than one, and served calls of others that were sent after the first.
+    fn singles_out(
+        &mut self,
+        class_id: usize,
+        outcome: Outcome,
+        sent: Micros,
+        now: Micros,
+        first: Micros,
+    ) -> bool {
+        let others = self.manners.iter().enumerate().filter(|(class, _)| *class != class_id);
+        let served = others.map(|(_, m)| m.served).max().unwrap_or(0);
+        let Some(manner) = self.manners.get_mut(class_id) else { return false };
+        match outcome {
+            Outcome::Served => *manner = Manner { served: sent, ..Manner::default() },
+            Outcome::TurnedAway => {
+                manner.refused = manner.refused.saturating_add(1);
+                if manner.refused == 1 {
+                    manner.since = sent;
+                } else if served > manner.since {
+                    manner.not_before = now + (first << (manner.refused - 2).min(BACKOFF_DOUBLINGS));
+                    return true;
+                }
+            }
+            _ => {}
+        }
+        false
     }
 
     /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
@@ -295,7 +332,7 @@
             let place = found.unwrap_or_else(|place| place);
             // A restart under the same number is a new, cold process: nothing learned of the old one holds.
             if found.is_err() || entry.started > self.servers[place].started {
-                let mut server = Server::new(entry, self.settings.balancers);
+                let mut server = Server::new(entry, &self.settings);
                 server.kept_busy(self.longest_usual(), self.sends, 1.0);
                 // Balancers hear of a cold server together: each waits a random part before its first call.
                 let (gap, span) = self.cold_gap(now, &server);
@@ -473,11 +510,12 @@
         // A client in a hurry gave up before most answers come: that tells of the client.
         let hurried =
             outcome == Outcome::TimedOut && pace.as_ref().is_some_and(|p| (elapsed as f64) < p.tail);
+        let alone = server.singles_out(class_id, outcome, sent, now, first);
         let failed = match outcome {
             Outcome::Served => false,
             // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
             Outcome::TimedOut if server.answered > sent && !hurried => false,
-            _ if outcome.says_nothing() || hurried => {
+            _ if outcome.says_nothing() || hurried || alone => {
                 server.budget.trial_out &= trial != Trial::Server;
                 return;
             }
@@ -626,6 +664,8 @@
         let len = self.servers.len();
         let start = self.settings.me as usize * len / self.settings.balancers.max(1) as usize;
         let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(&self.servers[i]));
+        let taken = ring().any(|i| self.servers[i].takes(call.class_id, now));
+        let ring = || ring().filter(|&i| !taken || self.servers[i].takes(call.class_id, now));
         let fresh = ring().any(|i| call.untried(self.servers[i].id));
         let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
         let up: Vec<usize> = untried.take(self.window()).collect();
@@ -727,7 +767,9 @@
             if self.servers[place].returning(now, self.served, &self.settings.rules) {
                 // Only a call that never went: a bound one may go to some servers alone.
                 let mut held = self.hold.iter().take(LOOK_PAST);
-                if let Some(index) = held.position(|id| self.calls[id].attempts.is_empty()) {
+                let server = &self.servers[place];
+                let fits = |c: &Call| c.attempts.is_empty() && server.takes(c.class_id, now);
+                if let Some(index) = held.position(|id| fits(&self.calls[id])) {
                     let id = self.hold[index];
                     self.take(index);
                     self.send(now, id, place, Trial::Server, actions);
@@ -743,12 +785,18 @@
                 }
                 Route::Refuse { retry_after } => self.give_up(id, retry_after, actions),
                 // Arrival order: the first that stays keeps the rest, unless bound to some servers.
-                Route::Hold if self.calls[&id].binding().is_some() && index < LOOK_PAST => index += 1,
+                Route::Hold if self.is_bound(now, id) && index < LOOK_PAST => index += 1,
                 Route::Hold => break,
             }
         }
     }
 
+    /// Whether a call may go to some servers alone, by what ran before or as others turn its class away.
+    fn is_bound(&self, now: Micros, id: CallId) -> bool {
+        let call = &self.calls[&id];
+        call.binding().is_some() || self.servers.iter().any(|s| s.listed && !s.takes(call.class_id, now))
+    }
+
     fn take(&mut self, index: usize) {
         if let Some(call) = self.hold.remove(index).and_then(|id| self.calls.get_mut(&id)) {
             call.held = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,18 @@
     pub(crate) outcome: Option<Outcome>,
 }
 
+/// What a server makes of the calls of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Manner {
+    /// Turned away in a row, and when the first of those was sent.
+    pub(crate) refused: u32,
+    pub(crate) since: Micros,
+    /// When the last one that was served had been sent.
+    pub(crate) served: Micros,
+    /// Others are tried first before this time.
+    pub(crate) not_before: Micros,
+}
+
 /// A call from its arrival until it has ended and no attempt is out.
 #[derive(Debug, Default)]
 pub(crate) struct Call {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -644,3 +644,30 @@
     let aside = |a: &&Action| matches!(a, Action::Log { text } if text.contains("set aside"));
     assert_eq!(proxy.actions.iter().find(aside), None);
 }
+
+/// A server may turn one class away and serve the others. Taken for a full one, it was set aside for all.
+#[test]
+fn a_server_that_turns_one_class_away_keeps_the_others_calls() {
+    let mut config = settings(Repeat::Free);
+    config.classes = vec![config.classes[0]; 2];
+    let mut proxy = Proxy::new(config, 4);
+    let mut count = [0, 0];
+    for turn in 0..400 {
+        let class = turn % 2;
+        let (call, actions) = proxy.call_of(class);
+        let mut last = sent(&actions).first().map(|s| s.1);
+        let mut attempt = 0;
+        while let Some(server) = last {
+            let odd = server == ServerId(1);
+            count[class] += usize::from(odd);
+            proxy.now += 10 * MS;
+            let outcome = if odd && class == 1 { Outcome::TurnedAway } else { Outcome::Served };
+            let actions = proxy.end(call, attempt, outcome, 10 * MS);
+            last = sent(&actions).iter().find(|s| s.0 == call).map(|s| s.1);
+            attempt += 1;
+        }
+    }
+    let aside = |a: &&Action| matches!(a, Action::Log { text } if text.contains("set aside"));
+    assert_eq!(proxy.actions.iter().find(aside), None);
+    assert!(count[0] >= 25 && count[1] <= 10, "of 200 calls each: {count:?}");
+}
