Cut the shared budget once for each jam, from what is out now

All refusals (36% at 0 s, 57% at 5 s, before any trouble) were the module's own. A proxy with little traffic sent nearly all.

Ruled out: that the start is too low. The busiest proxy reached 31 in flight within a second and was cut to 0.6 in the next, and stood there for four seconds without a single send.

The lines at fault are in Pool::learn: every ten answers cut again, though all of them had been sent before the first cut; the cut began at a mean of three seconds that had not filled yet; and time that slow calls had taken was owed as debt long after they had ended (Pool::room_at). Answers to calls sent before the last cut no longer count, the cut starts from the calls that are out, and a budget of whole calls has room when fewer are out.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -475,11 +475,13 @@
         let pool_limit = (base * STRAIN_TIMES).min(base + (aim - base) * STRAIN_AIM).max(base);
         let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
         if let Some(pool) = &mut self.pool {
+            pool.out = pool.out.saturating_sub(1);
             pool.charge(now, elapsed as f64 - usual);
             pool.budget.trial_out &= trial != Trial::Pool;
             if !outcome.says_nothing() && outcome != Outcome::NoConnection {
                 let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-                pool.learn(now, (elapsed as f64 / pool_limit).min(4.0).max(full), elapsed as f64, longest);
+                let strain = (elapsed as f64 / pool_limit).min(4.0).max(full);
+                pool.learn(now, sent, strain, elapsed as f64, longest);
             }
             match outcome {
                 _ if trial != Trial::Pool => {}
@@ -731,6 +733,7 @@
         let (aim, arrived) = (call.aim_at(), call.arrived);
         let usual = self.usual(class_id, self.calls[&id].class.aim);
         if let Some(pool) = &mut self.pool {
+            pool.out += 1;
             pool.charge(now, usual);
             pool.budget.trial_out |= trial == Trial::Pool;
         }
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -83,6 +83,8 @@
 pub(crate) struct Pool {
     pub(crate) budget: Budget,
     pub(crate) up: f64,
+    /// Calls in flight at all servers.
+    pub(crate) out: u32,
     /// Time in flight that was taken ahead of the budget, and when that was reckoned.
     pub(crate) debt: f64,
     pub(crate) at: Micros,
@@ -109,20 +111,29 @@
         (self.debt, self.at) = ((self.debt - paid).max(0.0) + time, now);
     }
 
+    /// A budget of whole calls has room by what is out now: what slow calls took is no longer in flight.
     pub(crate) fn room_at(&self, usual: f64) -> Micros {
+        if f64::from(self.out) + 1.0 <= self.total() {
+            return self.at;
+        }
         let over = (self.debt - POOL_BURST * usual).max(0.0) / self.total().max(f64::MIN_POSITIVE);
         self.at.saturating_add(over as Micros)
     }
 
-    /// Strain seen at whichever server lowers the budget, counted from what was used of it.
-    pub(crate) fn learn(&mut self, now: Micros, strain: f64, elapsed: f64, usual: f64) {
+    /// Strain seen at whichever server lowers the budget, counted from what was used of it. Calls sent before
+    /// the last cut tell nothing of it: cut for them too, a busy balancer would give up all in one jam.
+    pub(crate) fn learn(&mut self, now: Micros, sent: Micros, strain: f64, elapsed: f64, usual: f64) {
         let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
         self.heard = now;
         self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
+        if sent < self.changed {
+            return;
+        }
         self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
         self.answers += 1;
         if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
-            let used = self.used / (f64::from(self.budget.steps) * self.up.max(1.0));
+            // The mean of some seconds is far under what is out when calls have only begun to come.
+            let used = self.used.max(f64::from(self.out)) / (f64::from(self.budget.steps) * self.up.max(1.0));
             self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
             self.budget.cut(1.0 / self.strain, false);
             self.strain = self.strain.sqrt();
