--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -43,3 +43,23 @@
     let left = burst(&mut proxy, 40).len();
     assert!((before / 2 - 2..before).contains(&left), "{left} of {before} after one jam");
 }
+
+#[test]
+fn ties_of_a_thin_balancer_leave_a_near_zone_that_is_slower() {
+    let (near, far) = (ZoneId(1), ZoneId(2));
+    let settings = Settings { balancers: 100, zone: Some(near), ..settings(Repeat::Free) };
+    let mut proxy = Proxy::new(settings, 0);
+    let zoned = |id, zone| Entry { zone, ..ready(id) };
+    proxy.list(ListKind::Full, vec![zoned(1, near), zoned(2, far)]);
+    let mut crossed = 0;
+    for _ in 0..400 {
+        proxy.now += 100 * MS;
+        let (call, actions) = proxy.call();
+        let server = sent(&actions)[0].1;
+        let elapsed = if server == ServerId(1) { 120 * MS } else { 40 * MS };
+        crossed += usize::from(server == ServerId(2));
+        proxy.now += elapsed;
+        proxy.end(call, 0, Outcome::Served, elapsed);
+    }
+    assert!((250..350).contains(&crossed), "three times as fast, three of four calls: {crossed} of 400");
+}
