--- a/src/balance.rs
+++ b/src/balance.rs
@@ -708,8 +708,8 @@
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
         let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.strain };
-        // Nearly every pick of a thin balancer is a tie: a zone that has more calls than servers would get most
-        // of them from all balancers in it, and their answers alone can tell them so.
+        // Nearly every pick of a thin balancer is a tie: a zone that has more calls than servers would get
+        // most of them from all balancers in it, and their answers alone can tell them so.
         let near_first = self.settings.zone.filter(|_| self.pool.is_none());
         let far = |s: &Server| near_first.is_some_and(|zone| zone != s.zone);
         let load = |i: usize| {
