Judge a shared budget by thirty answers, as ten are chance

A thin proxy's ten answers come from servers of three speeds and calls of four classes; their mean passes the limit by chance, and each time the budget was cut to what was out at that moment.

Pool::learn followed about ten answers and cut after ten. Now it is about thirty, and the time since a cut alone, during which nothing need have been answered, no longer lets another cut happen.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -486,7 +486,7 @@
             if !outcome.says_nothing() && outcome != Outcome::NoConnection {
                 let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
                 let strain = (elapsed as f64 / pool_limit).min(4.0).max(full);
-                pool.learn(now, sent, strain, elapsed as f64, longest);
+                pool.learn(now, sent, strain, elapsed as f64);
             }
             match outcome {
                 _ if trial != Trial::Pool => {}
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -15,6 +15,9 @@
 const DEEP_FLOOR: f64 = 0.2;
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
 pub(crate) const SMOOTHING: f64 = 0.1;
+/// The same in the strain of a shared budget. Its calls meet fast and slow servers and are of all classes: of ten
+/// answers the mean is chance, and a cut by it is a call refused for nothing.
+pub(crate) const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
 /// Doublings of a backoff up to its cap.
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
 /// A server's first budget under which all servers share one: half a call, which would round to none.
@@ -122,16 +125,16 @@
 
     /// Strain seen at whichever server lowers the budget, counted from what was used of it. Calls sent before
     /// the last cut tell nothing of it: cut for them too, a busy balancer would give up all in one jam.
-    pub(crate) fn learn(&mut self, now: Micros, sent: Micros, strain: f64, elapsed: f64, usual: f64) {
+    pub(crate) fn learn(&mut self, now: Micros, sent: Micros, strain: f64, elapsed: f64) {
         let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
         self.heard = now;
         self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
         if sent < self.changed {
             return;
         }
-        self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
+        self.strain += (strain - self.strain) * POOL_SMOOTHING.max(1.0 - (-gap).exp());
         self.answers += 1;
-        if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
+        if self.strain > 1.0 && f64::from(self.answers) * POOL_SMOOTHING >= 1.0 {
             // The mean of some seconds is far under what is out when calls have only begun to come.
             let used = self.used.max(f64::from(self.out)) / (f64::from(self.budget.steps) * self.up.max(1.0));
             self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -96,3 +96,20 @@
     let went = stream(&mut proxy, 1_000, time);
     assert!(went > 900, "nothing is late, yet only {went} of 1000 were sent on");
 }
+
+#[test]
+fn a_few_late_answers_are_chance_and_cut_nothing() {
+    let mut proxy = one_of_many();
+    for _ in 0..20 {
+        let out = burst(&mut proxy, 40);
+        serve_all(&mut proxy, out, 40 * MS);
+        proxy.wait(300 * MS);
+    }
+    let before = burst(&mut proxy, 40);
+    let (late, rest) = before.split_at(6);
+    serve_all(&mut proxy, rest.to_vec(), 40 * MS);
+    serve_all(&mut proxy, late.to_vec(), 300 * MS);
+    proxy.wait(300 * MS);
+    let left = burst(&mut proxy, 40).len();
+    assert!(left >= before.len(), "{left} of {} after six late answers", before.len());
+}
