Let refusals by single servers leave the shared budget alone

Proxies refused 20 to 34% of calls while about 105 were in flight at 60 servers.

Ruled out: full servers. Answer times of the others were usual, and each refusing server was one that the list later called draining. A fleet that is full shows in the times of what it answers. The line was in Balancer::learn; refusals still set their own server aside.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,7 +5,7 @@
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::budget::{enough, Budget, Pool, BACKOFF_DOUBLINGS, CUT_MOST, RATE_MEMORY, SMOOTHING};
+use crate::budget::{enough, Budget, Pool, BACKOFF_DOUBLINGS, RATE_MEMORY, SMOOTHING};
 use crate::state::{Attempt, Call, Manner, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -483,10 +483,9 @@
             pool.out = pool.out.saturating_sub(1);
             pool.charge(now, elapsed as f64 - usual);
             pool.budget.trial_out &= trial != Trial::Pool;
-            if !outcome.says_nothing() && outcome != Outcome::NoConnection {
-                let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-                let strain = (elapsed as f64 / pool_limit).min(4.0).max(full);
-                pool.learn(now, sent, strain, elapsed as f64);
+            // A refusal is one server's word, most often of one that drains: a fleet that is full shows in answers.
+            if !outcome.says_nothing() && !outcome.never_ran() {
+                pool.learn(now, sent, (elapsed as f64 / pool_limit).min(4.0), elapsed as f64);
             }
             match outcome {
                 _ if trial != Trial::Pool => {}
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -10,7 +10,7 @@
 const START_CONCURRENCY: f64 = 7.0;
 const FLOOR_CONCURRENCY: f64 = 12.0;
 /// What one round leaves of the concurrency at the least (TCP's cut).
-pub(crate) const CUT_MOST: f64 = 0.5;
+const CUT_MOST: f64 = 0.5;
 /// What a deep cut leaves of the floor at the least: an idle half of a few cores.
 const DEEP_FLOOR: f64 = 0.2;
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -97,6 +97,29 @@
     assert!(went > 900, "nothing is late, yet only {went} of 1000 were sent on");
 }
 
+#[test]
+fn servers_that_refuse_do_not_lower_the_budget_of_all() {
+    let mut proxy = one_of_many();
+    for _ in 0..20 {
+        let out = burst(&mut proxy, 40);
+        serve_all(&mut proxy, out, 40 * MS);
+        proxy.wait(300 * MS);
+    }
+    // Half of the servers drain and the list has not said so yet.
+    let out: Vec<(CallId, ServerId)> = (0..40).flat_map(|_| sent(&proxy.call().1)).collect();
+    let before = out.len();
+    let mut out: Vec<(CallId, u32, ServerId)> = out.into_iter().map(|(call, to)| (call, 0, to)).collect();
+    while let Some((call, attempt, to)) = out.pop() {
+        let outcome = if to.0 <= 30 { Outcome::TurnedAway } else { Outcome::Served };
+        proxy.now += MS;
+        let next = sent(&proxy.end(call, attempt, outcome, MS));
+        out.extend(next.iter().map(|(id, to)| (*id, if *id == call { attempt + 1 } else { 0 }, *to)));
+    }
+    proxy.wait(3_000 * MS);
+    let left = burst(&mut proxy, 40).len();
+    assert!(left + 4 >= before, "{left} of {before} after refusals, though no answer was late");
+}
+
 #[test]
 fn a_few_late_answers_are_chance_and_cut_nothing() {
     let mut proxy = one_of_many();
