--- a/src/balance.rs
+++ b/src/balance.rs
@@ -483,7 +483,7 @@
             pool.out = pool.out.saturating_sub(1);
             pool.charge(now, elapsed as f64 - usual);
             pool.budget.trial_out &= trial != Trial::Pool;
-            // A refusal is one server's word, most often of one that drains: a fleet that is full shows in answers.
+            // A refusal is one server's word, mostly of one that drains: a full fleet shows in its answers.
             if !outcome.says_nothing() && !outcome.never_ran() {
                 pool.learn(now, sent, (elapsed as f64 / pool_limit).min(4.0), elapsed as f64);
             }
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -15,8 +15,8 @@
 const DEEP_FLOOR: f64 = 0.2;
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
 pub(crate) const SMOOTHING: f64 = 0.1;
-/// The same in the strain of a shared budget. Its calls meet fast and slow servers and are of all classes: of ten
-/// answers the mean is chance, and a cut by it is a call refused for nothing.
+/// The same in the strain of a shared budget. Its calls meet fast and slow servers and are of all classes:
+/// of ten answers the mean is chance, and a cut by it refuses calls for nothing.
 pub(crate) const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
 /// Doublings of a backoff up to its cap.
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -91,7 +91,7 @@
 fn the_quick_first_answers_of_many_calls_do_not_make_the_usual_ones_look_late() {
     let mut proxy = one_of_many();
     // Every second call takes twenty times as long: an answer in that time is as usual as can be.
-    let time = |call: u64| if call % 2 == 0 { 10 * MS } else { 200 * MS };
+    let time = |call: u64| if call.is_multiple_of(2) { 10 * MS } else { 200 * MS };
     stream(&mut proxy, 1_000, time);
     let went = stream(&mut proxy, 1_000, time);
     assert!(went > 900, "nothing is late, yet only {went} of 1000 were sent on");
