Send cold servers a third of the rule's limit, not an even part of little

Of all calls 19% were refused and 14% late for ten seconds. None of the cold ones turned anything away.

Ruled out: too few answers to pace by. 1,063 answers a second over 60 servers times a warmth of 0.3 is the 5 a second that each got, so the pace was kept as meant; but an even part of all calls, counted by heads, is a fraction of what a warm server carries when most are cold, and the stated warmth came off it once more. The rule allows four times what a cold server can do; this was about an eighth of it.

The line was the smaller of two shares in cold_gap. Under a shared budget the part is now that of the warm work in service, times a third of the rule's multiple: half, as sizes are not told and may differ by so much, and a third less for chance. With few balancers it stays as it was.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -71,10 +71,16 @@
 struct RuleFacts {
     cold_from: f64,
     cold_us: u64,
+    #[serde(default = "fall_multiple")]
+    fall_multiple: f64,
     #[serde(default = "ask_every")]
     ask_every_us: u64,
 }
 
+fn fall_multiple() -> f64 {
+    Settings::default().rules.fall_multiple
+}
+
 fn ask_every() -> u64 {
     Settings::default().rules.ask_every
 }
@@ -130,7 +136,12 @@
             // Also where clients are said not to heed it: a refusal on sockets always says when to come back.
             max_retry_after: limits.max_retry_after_us,
         },
-        rules: Rules { cold_share: rules.cold_from, cold_time: rules.cold_us, ask_every: rules.ask_every_us },
+        rules: Rules {
+            cold_share: rules.cold_from,
+            cold_time: rules.cold_us,
+            fall_multiple: rules.fall_multiple,
+            ask_every: rules.ask_every_us,
+        },
         goal: Goal { whole: facts.result_mix.whole, worst_class: facts.result_mix.worst_class },
     };
     let names = facts.classes.into_iter().map(|c| c.name).collect();
--- a/src/api.rs
+++ b/src/api.rs
@@ -105,6 +105,8 @@
     pub cold_share: f64,
     /// And is warm after this at the latest.
     pub cold_time: Micros,
+    /// And falls over when it is sent more than this multiple of its present capacity.
+    pub fall_multiple: f64,
     /// Longest that a proxy may go without asking for the list.
     pub ask_every: Micros,
 }
@@ -162,7 +164,12 @@
                 max_attempts: 3,
                 max_retry_after: 1_000_000,
             },
-            rules: Rules { cold_share: 0.1, cold_time: 20_000_000, ask_every: 10_000_000 },
+            rules: Rules {
+                cold_share: 0.1,
+                cold_time: 20_000_000,
+                fall_multiple: 4.0,
+                ask_every: 10_000_000,
+            },
             goal: Goal { whole: 1.0, worst_class: 0.0 },
         }
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,6 +48,9 @@
 /// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
 const WINDOW_LEAST: usize = 8;
 const WINDOW_BUSY: f64 = 0.05;
+/// Part of the rules' limit that cold servers are sent: half, as one may do half of what the mean one does,
+/// and a third less, as calls are of uneven work.
+const COLD_PART: f64 = 1.0 / 3.0;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
 
@@ -755,9 +758,9 @@
         self.set_wake(id, if copy { (copy_at as Micros).max(now + 1) } else { 0 });
     }
 
-    /// Own answers for each call to a cold server, by its stated share of what a warm one does: any number
-    /// of balancers keep it safe so, and fast refusals earn nothing. Without answers it is tried after a span
-    /// that leaves it less than one call in flight from all.
+    /// Own answers for each call to a cold server, by its stated share of what warm ones do and a part of the
+    /// rules' limit: any number of balancers keep it safe so, and fast refusals earn nothing. Without answers
+    /// it is tried after a span that leaves it less than one call in flight from all.
     fn cold_gap(&self, now: Micros, server: &Server) -> (u64, Micros) {
         let rules = &self.settings.rules;
         let warmth = server.warmth(now, rules);
@@ -768,7 +771,13 @@
         // among them it would starve the cold ones just when they are needed.
         let up = || self.servers.iter().filter(|s| s.listed && s.budget.steps > 0);
         let warm = up().map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
-        let share = (server.weight / warm).min(1.0 / up().count().max(1) as f64) * warmth;
+        let even = (server.weight / warm).min(1.0 / up().count().max(1) as f64);
+        // Where most of very many servers are cold, an even part of the calls is far under what they can do.
+        let part = match &self.pool {
+            Some(_) => (rules.fall_multiple * COLD_PART * server.weight / warm).min(1.0),
+            None => even,
+        };
+        let share = part * warmth;
         ((1.0 / share) as u64, (self.longest_aim() * f64::from(self.settings.balancers) / warmth) as Micros)
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -136,3 +136,26 @@
     let left = burst(&mut proxy, 40).len();
     assert!(left >= before.len(), "{left} of {} after six late answers", before.len());
 }
+
+/// Six in ten servers have just been replaced: paced by a count of heads they would stay idle, while the others are
+/// full.
+#[test]
+fn cold_servers_carry_their_stated_part_of_the_work_where_most_are_cold() {
+    let (mut cold, mut all) = (0, 0);
+    for me in 0..100 {
+        let mut proxy = Proxy::new(Settings { balancers: 100, me, ..settings(Repeat::Free) }, 60);
+        // A third of the way to warm at the latest: four tenths of its capacity at the least.
+        let started = proxy.now;
+        proxy.now += 6_667 * MS;
+        let replaced =
+            (1..=60).map(|id| Entry { started: if id % 5 < 3 { started } else { 0 }, ..ready(id) });
+        proxy.list(ListKind::Full, replaced.collect());
+        for _ in 0..400 {
+            proxy.now += MS;
+            all += 1;
+            cold += usize::from(proxy.serve(MS).is_some_and(|s| s.0 % 5 < 3));
+        }
+    }
+    // Of the work that all can do, 24 parts warm and 36 x 0.4 cold, a third is theirs.
+    assert!((all / 8..all / 2).contains(&cold), "{cold} of {all}");
+}
