Let very many balancers wait longer before they ask for the list again

Ruled out: that discovery is too small. The calls that fail are what keeps it busy. A proxy alone asking every second is harmless.

The line was the wait in Balancer::members, 0.16 to 3.75 s, the same for any number of balancers. With a shared budget (very many) it now starts at a quarter of the longest time that a proxy may go without asking, up to the whole of it, at random about that. With few it stays.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -324,7 +324,9 @@
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
             // Jitter keeps balancers that lost the list together from asking together again.
-            let wait = (self.settings.rules.ask_every / 32) << self.ask_failures.min(3);
+            // Very many that ask again soon keep discovery busy with calls that fail: hardly one gets a list.
+            let (part, doublings) = if self.pool.is_some() { (4, 2) } else { (32, 3) };
+            let wait = (self.settings.rules.ask_every / part) << self.ask_failures.min(doublings);
             self.ask_failures += 1;
             if self.settings.ask {
                 self.ask_at = now + wait / 2 + self.below(wait);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -159,3 +159,26 @@
     // Of the work that all can do, 24 parts warm and 36 x 0.4 cold, a third is theirs.
     assert!((all / 8..all / 2).contains(&cold), "{cold} of {all}");
 }
+
+/// After how long it asks for the list again, each time that asking has failed.
+fn waits_to_ask(balancers: u32) -> Vec<Micros> {
+    let mut proxy = Proxy::new(Settings { balancers, ask: true, ..settings(Repeat::Free) }, 60);
+    let waits = (0..4).map(|_| {
+        proxy.list(ListKind::Failed, Vec::new());
+        let failed = proxy.now;
+        while !proxy.wait(10 * MS).contains(&Action::Subscribe) {
+            assert!(proxy.now < failed + 40_000 * MS, "it never asks again");
+        }
+        proxy.now - failed
+    });
+    waits.collect()
+}
+
+#[test]
+fn very_many_balancers_leave_discovery_the_time_to_answer() {
+    let every = settings(Repeat::Free).rules.ask_every;
+    let (many, few) = (waits_to_ask(100), waits_to_ask(5));
+    assert!(many.iter().all(|wait| *wait >= every / 8), "{many:?}");
+    assert!(many[2] >= every / 2 && many.iter().all(|wait| *wait <= 2 * every), "{many:?}");
+    assert!(few[0] < every / 16, "a few do not crowd it: {few:?}");
+}
