--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -155,6 +155,9 @@
 #[derive(Debug, Default)]
 struct Counts {
     requests: u64,
+    /// Requests that the module turned away or failed; a fleet's refusals may all be its proxies' own.
+    refused: u64,
+    failed: u64,
     attempts: u64,
     opened: u64,
     open_failed: u64,
@@ -492,9 +495,13 @@
         match action {
             Action::Send { call, server } => self.send(handle, call, server),
             Action::Refuse { call, retry_after } => {
+                self.counts.refused += 1;
                 self.answer(call, Reply::Refused(Duration::from_micros(retry_after)));
             }
-            Action::Fail { call } => self.answer(call, Reply::Failed),
+            Action::Fail { call } => {
+                self.counts.failed += 1;
+                self.answer(call, Reply::Failed);
+            }
             Action::Cancel { call, attempt } => self.cancel(call, attempt),
             Action::Wake { after } => {
                 self.wake = Some(Instant::now() + Duration::from_micros(after));
