Let one time-out set a server aside at one of very many balancers

As the fleet's calls passed what the slow ones can do, their answers fell behind the clients' waits and stayed there: one took 14 calls a second for eight seconds and served none of them, another 10 a second from 3.5 s on. A time-out stops nothing at a server, so one that is late with all it does is kept late by a third of the usual calls.

Those calls came from 65 balancers with one to four time-outs each in seven seconds; three of them had set the server aside. A time-out counted nothing where the client waited for less than 95% of answers take, a success where another call was answered meanwhile, and half a failure otherwise, so four in a row were needed: a second's work for one balancer, minutes for one of a hundred (Balancer::learn).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,6 +26,9 @@
 /// Weight of a new outcome in a server's share of failures, and the share that sets it aside: two in four.
 const FAIL_WEIGHT: f64 = 0.2;
 const FAIL_LIMIT: f64 = 0.3;
+/// Weight of a time-out under a shared budget: one is enough. A hundred balancers that each wait for several
+/// keep a jammed server busy for good with calls that come too late.
+const POOL_LATE_WEIGHT: f64 = 1.2 * FAIL_LIMIT;
 /// First backoff as a share of the longest aim.
 const BACKOFF_AIM: f64 = 0.25;
 /// Wait in the hold beyond which new calls are refused, as a share of their aim.
@@ -495,14 +498,15 @@
         let least = if fair { 0.0 } else { longest_aim };
         server.kept_busy(least.max(elapsed as f64), self.sends, per);
         let strain = (elapsed as f64 / limit).min(4.0);
-        // A client in a hurry gave up before most answers come: that tells of the client.
-        let hurried =
-            outcome == Outcome::TimedOut && pace.as_ref().is_some_and(|p| (elapsed as f64) < p.tail);
+        // A client in a hurry gave up before most answers come: that tells of the client. A thin balancer
+        // calls a server so seldom that it cannot wait for more: it heeds each time-out.
+        let (timed_out, thin) = (outcome == Outcome::TimedOut, self.pool.is_some());
+        let hurried = timed_out && !thin && pace.as_ref().is_some_and(|p| (elapsed as f64) < p.tail);
         let alone = server.singles_out(class_id, outcome, sent, now, first);
         let failed = match outcome {
             Outcome::Served => false,
             // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
-            Outcome::TimedOut if server.answered > sent && !hurried => false,
+            Outcome::TimedOut if server.answered > sent && !hurried && !thin => false,
             _ if outcome.says_nothing() || hurried || alone => {
                 server.budget.trial_out &= trial != Trial::Server;
                 return;
@@ -511,8 +515,11 @@
         };
         // A time-out proves less than an error: a crowded server may owe a lone call for that long. So does
         // what one connection did: now and then an answer is spoilt or breaks off at any server.
-        let weak = matches!(outcome, Outcome::TimedOut | Outcome::Unknown | Outcome::Reset);
-        let weight = if weak { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
+        let weight = match outcome {
+            Outcome::TimedOut if thin => POOL_LATE_WEIGHT,
+            Outcome::TimedOut | Outcome::Unknown | Outcome::Reset => FAIL_WEIGHT / 2.0,
+            _ => FAIL_WEIGHT,
+        };
         server.failing += (if failed { 1.0 } else { 0.0 } - server.failing) * weight;
         // Few answers a second must not make the strain a memory of long ago.
         let gap = now.saturating_sub(server.heard) as f64 / longest_aim;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -182,3 +182,32 @@
     assert!(many[2] >= every / 2 && many.iter().all(|wait| *wait <= 2 * every), "{many:?}");
     assert!(few[0] < every / 16, "a few do not crowd it: {few:?}");
 }
+
+/// A hundred balancers that each wait for a second sign keep a jammed server busy with calls that come too late.
+#[test]
+fn one_call_that_timed_out_is_sign_enough_for_a_thin_balancer() {
+    // Its client waits for less than some answers take, or for long.
+    for late in [200 * MS, 600 * MS] {
+        let settings = Settings { balancers: 100, ..settings(Repeat::Free) };
+        let mut proxy = Proxy::new(settings, 24);
+        for _ in 0..20 {
+            let out = burst(&mut proxy, 40);
+            serve_all(&mut proxy, out, 40 * MS);
+            proxy.wait(300 * MS);
+        }
+        let out: Vec<(CallId, ServerId)> = (0..40).flat_map(|_| sent(&proxy.call().1)).collect();
+        let (lost, jammed) = out[0];
+        let mut next = Vec::new();
+        proxy.now += 40 * MS;
+        for (call, _) in &out[1..] {
+            next.extend(sent(&proxy.end(*call, 0, Outcome::Served, 40 * MS)));
+        }
+        serve_all(&mut proxy, next.into_iter().map(|(call, _)| call).collect(), 40 * MS);
+        proxy.now += late;
+        let (outcome, load) = (Outcome::TimedOut, Load::default());
+        proxy.event(Event::Outcome { call: lost, attempt: 0, outcome, elapsed: late, closed: true, load });
+        let to: Vec<(CallId, ServerId)> = (0..40).flat_map(|_| sent(&proxy.call().1)).collect();
+        assert!(to.len() >= 20, "all others have room: {}", to.len());
+        assert!(to.iter().all(|(_, server)| *server != jammed), "after {late} us it is called again");
+    }
+}
