Leave servers of a lost zone out of the shared budget at once

They stood at 458 calls in flight, fell to 308 as proxies found the lost zone's connections failing, and from 246 to 205 as the list dropped 35 of 60 servers; one of the busiest went from 10.1 to 3.4 within half a second, a middling one from 3.5 to 0.8 and let nothing go for 1.5 s, though no server that still served had changed. The budget is a mean for each server that is up, and those of a zone that is passed over counted as up until each had failed by itself or left the list (Balancer::count). By then answers had already cut that mean to what the others bear; leaving the list cut it again.

Servers of a zone whose connections failed several times in a row are not counted.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -584,7 +584,11 @@
     fn count(&mut self) {
         self.listed = self.servers.iter().filter(|s| s.listed).count();
         self.aside = self.servers.iter().filter(|s| s.listed && s.budget.steps == 0).count();
-        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside) as f64);
+        // Servers of a lost zone get no calls: counted as up, their going from the list would halve a budget
+        // that those left have already been found to bear.
+        let lost = |s: &&Server| self.cut_off.get(&s.zone).is_some_and(|cut| cut.0 > ZONE_DOUBLINGS);
+        let cut_off = self.servers.iter().filter(|s| s.listed && s.budget.steps > 0).filter(lost).count();
+        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside - cut_off) as f64);
     }
 
     /// After an attempt that did not serve: again, or the end.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -211,3 +211,37 @@
         assert!(to.iter().all(|(_, server)| *server != jammed), "after {late} us it is called again");
     }
 }
+
+/// A busy one of a hundred; every second of the sixty servers is in a zone whose connections now fail. Passed over
+/// is that zone after the first few.
+fn after_a_zone_is_lost() -> Proxy {
+    let mut proxy = one_of_many();
+    proxy.list(ListKind::Full, (1..=60).map(|id| Entry { zone: ZoneId(id % 2), ..ready(id) }).collect());
+    for _ in 0..20 {
+        let out = burst(&mut proxy, 40);
+        serve_all(&mut proxy, out, 40 * MS);
+        proxy.wait(300 * MS);
+    }
+    let mut out: Vec<(CallId, u32, ServerId)> =
+        (0..40).flat_map(|_| sent(&proxy.call().1)).map(|(call, to)| (call, 0, to)).collect();
+    proxy.now += 40 * MS;
+    // The lost zone's calls end last.
+    while let Some((call, attempt, to)) = out.pop() {
+        let outcome = if to.0 % 2 == 0 { Outcome::Served } else { Outcome::NoConnection };
+        let next = sent(&proxy.end(call, attempt, outcome, 40 * MS));
+        out.extend(next.iter().map(|(id, to)| (*id, if *id == call { attempt + 1 } else { 0 }, *to)));
+    }
+    proxy
+}
+
+#[test]
+fn servers_of_a_lost_zone_leave_the_list_without_a_cut_for_those_left() {
+    let mut proxy = after_a_zone_is_lost();
+    let out = burst(&mut proxy, 30);
+    let before = out.len();
+    serve_all(&mut proxy, out, 40 * MS);
+    let left = (1..=30).map(|id| Entry { zone: ZoneId(0), ..ready(2 * id) });
+    proxy.list(ListKind::Full, left.collect());
+    let after = burst(&mut proxy, 30).len();
+    assert!(after >= before && before > 8, "{after} of {before}, though no server that served has gone");
+}
