Try a lost zone by one call at a time

Two seconds after a zone was lost, each of the 83 proxies left still sent it a fifth of its calls: 420 that got no connection and 165 that timed out on kept ones, of 3,300 in 2.5 s. Two ways led there. A server that its own failure had set aside was tried again by the first call after its own backoff, whatever was known of its zone (Balancer::drain_hold). And when the zone's backoff ended all calls of the 250 ms went there that the first needs to fail (Balancer::route).

Servers are not tried while their zone is passed over, and a call that tries a lost zone puts off the next by a server's first backoff.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -657,8 +657,8 @@
         if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
             return Route::Hold;
         }
-        let near = |s: &Server| self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
-        let allowed = |s: &Server| s.usable(now, self.served, rules) && near(s) && call.may_go(now, s, tick);
+        let open = |s: &Server| s.usable(now, self.served, rules) && self.near(now, s);
+        let allowed = |s: &Server| open(s) && call.may_go(now, s, tick);
         let ring = || self.ring().filter(|&i| allowed(&self.servers[i]));
         let taken = ring().any(|i| self.servers[i].takes(call.class_id, now));
         let ring = || ring().filter(|&i| !taken || self.servers[i].takes(call.class_id, now));
@@ -687,6 +687,11 @@
         }
     }
 
+    /// Whether a server's zone is not passed over.
+    fn near(&self, now: Micros, server: &Server) -> bool {
+        self.cut_off.get(&server.zone).is_none_or(|cut| now >= cut.1)
+    }
+
     /// How many servers calls are spread over: a thin balancer that went to all would open a connection for
     /// nearly every call, past what servers accept, and would learn of none of them.
     fn window(&self) -> usize {
@@ -720,6 +725,12 @@
             (self.served.saturating_add(gap), now.saturating_add(span));
         self.sends += 1;
         server.in_flight += 1;
+        // A lost zone is tried by one call: those of the time that a connection takes to fail would all be late.
+        let first = self.first_backoff();
+        let server = &mut self.servers[place];
+        if let Some(cut) = self.cut_off.get_mut(&server.zone).filter(|cut| cut.0 > ZONE_DOUBLINGS) {
+            cut.1 = now + first;
+        }
         server.budget.trial_out |= trial == Trial::Server;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let &mut Server { id: server, started, zone, cell, .. } = server;
@@ -791,7 +802,8 @@
 
     fn drain_hold(&mut self, now: Micros, actions: &mut Actions) {
         for place in 0..self.servers.len() {
-            if self.servers[place].returning(now, self.served, &self.settings.rules) {
+            let server = &self.servers[place];
+            if server.returning(now, self.served, &self.settings.rules) && self.near(now, server) {
                 // Only a call that never went: a bound one may go to some servers alone.
                 let mut held = self.hold.iter().take(LOOK_PAST);
                 let server = &self.servers[place];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -245,3 +245,23 @@
     let after = burst(&mut proxy, 30).len();
     assert!(after >= before && before > 8, "{after} of {before}, though no server that served has gone");
 }
+
+#[test]
+fn a_lost_zone_is_tried_by_one_call_at_a_time() {
+    let mut proxy = after_a_zone_is_lost();
+    let mut tries = Vec::new();
+    for _ in 0..600 {
+        proxy.now += 10 * MS;
+        let (call, actions) = proxy.call();
+        for (_, server) in sent(&actions) {
+            if server.0 % 2 == 0 {
+                proxy.end(call, 0, Outcome::Served, MS);
+            } else {
+                // Nothing is heard of it for as long as connections may take.
+                tries.push(proxy.now);
+            }
+        }
+    }
+    assert!(!tries.is_empty(), "it is never tried again");
+    assert!(tries.windows(2).all(|pair| pair[1] - pair[0] >= 100 * MS), "{tries:?}");
+}
