--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,12 +1,14 @@
 //! All decisions of the balancer. Its interface (settings, events, actions) is `src/api.rs`; the mechanism
-//! and the condition of each departure from it are in `docs/design.md`. Budgets are `src/budget.rs`.
+//! and the condition of each departure from it are in `docs/design.md`. Servers are `src/server.rs`, budgets
+//! `src/budget.rs`.
 //!
 //! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the hold when
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::budget::{enough, Budget, Pool, BACKOFF_DOUBLINGS, RATE_MEMORY, SMOOTHING};
-use crate::state::{Attempt, Call, Manner, Pace, Route, Trial};
+use crate::budget::{Pool, BACKOFF_DOUBLINGS, SMOOTHING};
+use crate::server::Server;
+use crate::state::{Attempt, Call, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,8 +44,6 @@
 const RETRY_KEPT: f64 = RETRY_SAVED / 2.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
-/// Memory of how busy a server was kept, in sends of this balancer for each server.
-const BUSY_ROUNDS: f64 = 4.0;
 /// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
 const WINDOW_LEAST: usize = 8;
 const WINDOW_BUSY: f64 = 0.05;
@@ -55,126 +55,6 @@
 
 type Actions = Vec<Action>;
 
-/// A server as this balancer sees it.
-#[derive(Debug, Default)]
-struct Server {
-    id: ServerId,
-    zone: ZoneId,
-    cell: CellId,
-    listed: bool,
-    started: Micros,
-    in_flight: u32,
-    budget: Budget,
-    weight: f64,
-    /// Time that this balancer's calls lately spent there: it breaks the pick's ties.
-    busy: f64,
-    busy_at: u64,
-    /// Answer times over what its classes allow; 1 is the limit.
-    strain: f64,
-    answers_since: u32,
-    /// Its last report, as strain.
-    crowding: f64,
-    /// When its budget last changed, when an attempt there last ended, and when it last served.
-    changed: Micros,
-    heard: Micros,
-    answered: Micros,
-    /// Recent share of failures.
-    failing: f64,
-    /// It is sent nothing before this time and that many answers of this balancer: it has refused or failed.
-    not_before: Micros,
-    rest: u64,
-    /// While cold it is sent nothing before that many answers of this balancer, or before this time.
-    cold_answers: u64,
-    cold_until: Micros,
-    /// By class.
-    manners: Vec<Manner>,
-}
-
-impl Server {
-    fn new(entry: &Entry, settings: &Settings) -> Self {
-        let &Entry { server: id, zone, cell, started, .. } = entry;
-        let (budget, weight) = (Budget::new(settings.balancers), 1.0);
-        let manners = vec![Manner::default(); settings.classes.len()];
-        Server { id, zone, cell, started, weight, budget, manners, ..Server::default() }
-    }
-
-    fn takes(&self, class_id: usize, now: Micros) -> bool {
-        self.manners.get(class_id).is_none_or(|m| now >= m.not_before)
-    }
-
-    /// Notes what became of a call of a class, and tells whether the server turns that class alone away: it
-    /// refused more than one, and served calls of others that were sent after the first.
-    fn singles_out(
-        &mut self,
-        class_id: usize,
-        outcome: Outcome,
-        sent: Micros,
-        now: Micros,
-        first: Micros,
-    ) -> bool {
-        let others = self.manners.iter().enumerate().filter(|(class, _)| *class != class_id);
-        let served = others.map(|(_, m)| m.served).max().unwrap_or(0);
-        let Some(manner) = self.manners.get_mut(class_id) else { return false };
-        match outcome {
-            Outcome::Served => *manner = Manner { served: sent, ..Manner::default() },
-            Outcome::TurnedAway => {
-                manner.refused = manner.refused.saturating_add(1);
-                if manner.refused == 1 {
-                    manner.since = sent;
-                } else if served > manner.since {
-                    manner.not_before = now + (first << (manner.refused - 2).min(BACKOFF_DOUBLINGS));
-                    return true;
-                }
-            }
-            _ => {}
-        }
-        false
-    }
-
-    /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
-    fn recent_load(&self, sends: f64, per: f64) -> f64 {
-        self.busy * (-(sends - self.busy_at as f64) / (per * BUSY_ROUNDS)).exp() / self.weight
-    }
-
-    fn kept_busy(&mut self, time: f64, sends: u64, per: f64) {
-        self.busy = self.recent_load(sends as f64, per) * self.weight + time;
-        self.busy_at = sends;
-    }
-
-    /// Share of its capacity that a server has at the least, by the rules' cold share and time.
-    fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
-        let age = now.saturating_sub(self.started);
-        if self.started == 0 || age >= rules.cold_time {
-            return 1.0;
-        }
-        rules.cold_share + (1.0 - rules.cold_share) * age as f64 / rules.cold_time as f64
-    }
-
-    fn full(&self, now: Micros, rules: &Rules) -> bool {
-        let budget = f64::from(self.budget.steps) * self.budget.concurrency * self.warmth(now, rules);
-        self.in_flight >= (budget + 0.5).max(1.0) as u32
-    }
-
-    fn open(&self, now: Micros, served: u64, rules: &Rules) -> bool {
-        let paced = served >= self.cold_answers || now >= self.cold_until || self.warmth(now, rules) >= 1.0;
-        let rested = served >= self.rest || now.saturating_sub(self.heard) as f64 >= 3.0 * RATE_MEMORY;
-        self.listed && now >= self.not_before && paced && rested
-    }
-
-    fn usable(&self, now: Micros, served: u64, rules: &Rules) -> bool {
-        self.budget.steps > 0 && self.open(now, served, rules)
-    }
-
-    fn settled(&self, now: Micros, usual: f64) -> bool {
-        let answers = self.answers_since;
-        answers >= self.in_flight.max(1) && enough(answers, now.saturating_sub(self.changed), usual)
-    }
-
-    fn returning(&self, now: Micros, served: u64, rules: &Rules) -> bool {
-        self.budget.steps == 0 && self.budget.trial_ready(now) && self.open(now, served, rules)
-    }
-}
-
 impl Call {
     fn aim_at(&self) -> Micros {
         let aim = if self.class.late_value > 0.0 { self.class.deadline } else { self.class.aim };
@@ -725,7 +605,7 @@
             (self.served.saturating_add(gap), now.saturating_add(span));
         self.sends += 1;
         server.in_flight += 1;
-        // A lost zone is tried by one call: those of the time that a connection takes to fail would all be late.
+        // A lost zone is tried by one call: those of the time that a connection takes to fail would be late.
         let first = self.first_backoff();
         let server = &mut self.servers[place];
         if let Some(cut) = self.cut_off.get_mut(&server.zone).filter(|cut| cut.0 > ZONE_DOUBLINGS) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod balance;
 mod budget;
 mod pace;
+mod server;
 mod state;
 
 pub use api::*;
