Remember four times as many calls of the time spent at servers

A thin balancer has none in flight at most servers and tells them apart by the time its calls lately spent there, remembered over four of its calls to each (Server::recent_load). Calls differ tenfold in their work and servers threefold in speed, so four are chance.

The memory is 16 rounds now. Balancers that share no budget do not use it.

--- a/src/server.rs
+++ b/src/server.rs
@@ -4,8 +4,9 @@
 use crate::budget::{enough, Budget, BACKOFF_DOUBLINGS, RATE_MEMORY};
 use crate::state::Manner;
 
-/// Memory of how busy a server was kept, in sends of this balancer for each server.
-const BUSY_ROUNDS: f64 = 4.0;
+/// Memory of how busy a server was kept, in sends of this balancer for each server: calls differ in their
+/// work far more than servers in their speed.
+const BUSY_ROUNDS: f64 = 16.0;
 
 /// A server as this balancer sees it.
 #[derive(Debug, Default)]
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -265,3 +265,25 @@
     assert!(!tries.is_empty(), "it is never tried again");
     assert!(tries.windows(2).all(|pair| pair[1] - pair[0] >= 100 * MS), "{tries:?}");
 }
+
+/// Calls differ in their work far more than servers in their speed: a few answers each are chance.
+#[test]
+fn a_thin_balancer_tells_a_slower_server_by_more_than_its_last_few_answers() {
+    let (mut slow, mut all) = (0, 0);
+    for me in 0..100 {
+        let mut proxy = Proxy::new(Settings { balancers: 100, me, ..settings(Repeat::Free) }, 60);
+        for step in 0..200_u64 {
+            let (call, actions) = proxy.call();
+            let is_slow = sent(&actions)[0].1 .0.is_multiple_of(2);
+            // Every fifth call takes ten times as long as others.
+            let work = if (step * 7 + u64::from(me)) % 5 == 0 { 100 * MS } else { 10 * MS };
+            let elapsed = if is_slow { 2 * work } else { work };
+            proxy.now += elapsed;
+            proxy.end(call, 0, Outcome::Served, elapsed);
+            if step >= 100 {
+                (slow, all) = (slow + usize::from(is_slow), all + 1);
+            }
+        }
+    }
+    assert!(slow * 5 < all * 2, "{slow} of {all} calls went to the half that is twice as slow");
+}
