Let one of very many balancers try servers set aside more seldom

A thin balancer tries such a server by an eighth of its calls at first and by 1/128 at last (Balancer::learn): harmless alone, but from a hundred it is as much as a slowed server can do, so it stays late with all it does.

The rest is four times as many answers, a quarter of an even share at the first trial.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,9 @@
 const COLD_PART: f64 = 1.0 / 3.0;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
+/// Doublings of the rounds of calls for which a server is left to itself by one of very many balancers, over
+/// those of its backoff: the trials of all of them can be as much as a server that has slowed down can do.
+const REST_DOUBLINGS: u32 = 2;
 
 type Actions = Vec<Action>;
 
@@ -453,9 +456,10 @@
             server.strain = 1.0;
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
         }
-        // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
+        // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls,
+        // at first a quarter of its share of them.
         if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
-            server.rest = self.served + ((per as u64) << server.budget.doublings);
+            server.rest = self.served + ((per as u64) << (REST_DOUBLINGS + server.budget.doublings));
         }
         self.count();
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -287,3 +287,29 @@
     }
     assert!(slow * 5 < all * 2, "{slow} of {all} calls went to the half that is twice as slow");
 }
+
+/// A quarter of the servers answer nothing. What all balancers try them with must be a small part of their share.
+#[test]
+fn servers_that_answer_nothing_are_tried_with_few_calls_by_all_together() {
+    let (mut lost, mut all) = (0, 0);
+    for me in 0..100 {
+        let mut proxy = Proxy::new(Settings { balancers: 100, me, ..settings(Repeat::Free) }, 60);
+        for step in 0..300 {
+            let (call, actions) = proxy.call();
+            let Some(&(_, server)) = sent(&actions).first() else {
+                proxy.event(Event::Gone { call });
+                continue;
+            };
+            let hangs = server.0 % 4 == 0;
+            let (outcome, elapsed) =
+                if hangs { (Outcome::TimedOut, 200 * MS) } else { (Outcome::Served, 20 * MS) };
+            proxy.now += elapsed;
+            let load = Load::default();
+            proxy.event(Event::Outcome { call, attempt: 0, outcome, elapsed, closed: true, load });
+            if step >= 100 {
+                (lost, all) = (lost + usize::from(hangs), all + 1);
+            }
+        }
+    }
+    assert!(lost * 20 < all, "{lost} of {all} calls went to servers that answer nothing");
+}
