--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
+use crate::admin::CALLERS_MOST;
 use crate::discovery::List;
 use ochrepond::Settings;
 use serde::Deserialize;
@@ -8,9 +9,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Descriptors for all but connections of clients and hosts: standard streams, event queue, listener, discovery,
-/// and some to spare.
-const SPARE_DESCRIPTORS: usize = 32;
+/// Descriptors for all but connections of clients and hosts: standard streams, event queue, listeners, discovery,
+/// operators, and some to spare.
+const SPARE_DESCRIPTORS: usize = 20 + CALLERS_MOST;
 
 /// The configuration, checked.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Most file descriptors that the process may hold.
@@ -41,6 +44,8 @@
 struct File {
     listen: SocketAddr,
     discovery: SocketAddr,
+    #[serde(default)]
+    admin: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -101,6 +106,7 @@
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
+            admin: file.admin,
             seed,
             sockets: file.limits.sockets,
             known: file.known,
--- /dev/null
+++ b/proxy/src/counters.rs
@@ -0,0 +1,163 @@
+//! The figures since the start. They are counted here alone, at the event itself, and read by operators' calls and the
+//! log alike.
+
+use hyper::StatusCode;
+use ochrepond::{ClassId, Outcome};
+use serde_json::{json, Value};
+use std::cell::{Ref, RefCell, RefMut};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How a request ended that its client waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Its whole answer was passed on.
+    Completed,
+    /// It was refused.
+    Rejected,
+    /// Anything else.
+    Failed,
+}
+
+/// Requests of one class by how they ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    completed: u64,
+    rejected: u64,
+    failed: u64,
+}
+
+/// The figures.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: Vec<Tally>,
+    /// Requests taken and not ended.
+    pending: u64,
+    /// Attempts whose last byte was written.
+    upstream_requests: u64,
+    /// Attempts that the module asked for.
+    pub attempts: u64,
+    /// Connections to hosts that came up, that did not, and that were kept and had broken.
+    pub opened: u64,
+    /// See `opened`.
+    pub open_failed: u64,
+    /// See `opened`.
+    pub broken_reuse: u64,
+    outcomes: BTreeMap<Outcome, u64>,
+    /// Requests that could not be used, by the status that they got.
+    unusable: BTreeMap<u16, u64>,
+}
+
+impl Figures {
+    /// An attempt ended.
+    pub fn outcome(&mut self, outcome: Outcome) {
+        *self.outcomes.entry(outcome).or_default() += 1;
+    }
+
+    /// A request that could not be used got this status; the module never saw it.
+    pub fn unusable(&mut self, status: StatusCode) {
+        *self.unusable.entry(status.as_u16()).or_default() += 1;
+    }
+
+    /// An attempt's last byte was written.
+    pub fn sent_whole(&mut self) {
+        self.upstream_requests += 1;
+    }
+
+    fn end(&mut self, class: ClassId, ending: Ending) {
+        let Some(tally) = self.classes.get_mut(class.0) else { return };
+        *match ending {
+            Ending::Completed => &mut tally.completed,
+            Ending::Rejected => &mut tally.rejected,
+            Ending::Failed => &mut tally.failed,
+        } += 1;
+    }
+
+    /// As operators read them. `names` are those of the classes, in their order.
+    pub fn to_json(&self, names: &[String], members: usize, unavailable: usize) -> Value {
+        let classes = names.iter().zip(&self.classes).map(|(name, tally)| {
+            let Tally { completed, rejected, failed } = tally;
+            (name.clone(), json!({"completed": completed, "rejected": rejected, "failed": failed}))
+        });
+        json!({
+            "downstream_requests": classes.collect::<serde_json::Map<_, _>>(),
+            "upstream_requests": self.upstream_requests,
+            "pending": self.pending,
+            "members": members,
+            "members_unavailable": unavailable,
+        })
+    }
+}
+
+/// The figures, shared by all that counts.
+#[derive(Clone, Debug, Default)]
+pub struct Counters(Rc<RefCell<Figures>>);
+
+impl Counters {
+    /// All zero.
+    pub fn new(classes: usize) -> Counters {
+        let figures = Figures { classes: vec![Tally::default(); classes], ..Figures::default() };
+        Counters(Rc::new(RefCell::new(figures)))
+    }
+
+    /// To read.
+    pub fn get(&self) -> Ref<'_, Figures> {
+        self.0.borrow()
+    }
+
+    /// To count.
+    pub fn count(&self) -> RefMut<'_, Figures> {
+        self.0.borrow_mut()
+    }
+
+    /// A request has been taken.
+    pub fn take(&self, class: ClassId) -> Taken {
+        self.count().pending += 1;
+        Taken { counters: self.clone(), class }
+    }
+}
+
+/// Goes with a request that was taken, until its end. Dropped without one, its client had gone.
+#[derive(Debug)]
+pub struct Taken {
+    counters: Counters,
+    class: ClassId,
+}
+
+impl Taken {
+    /// The request ended so.
+    pub fn end(self, ending: Ending) {
+        self.counters.count().end(self.class, ending);
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.counters.count().pending -= 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_is_pending_until_it_ends_or_its_client_goes() {
+        let counters = Counters::new(2);
+        let names = ["a".to_owned(), "b".to_owned()];
+        let taken: Vec<Taken> = [0, 1, 1, 1].map(|class| counters.take(ClassId(class))).into();
+        assert_eq!(counters.get().to_json(&names, 0, 0)["pending"], 4);
+        for (taken, ending) in taken.into_iter().zip([Ending::Completed, Ending::Rejected, Ending::Failed]) {
+            taken.end(ending);
+        }
+        let figures = counters.get().to_json(&names, 3, 1);
+        let expected = json!({
+            "downstream_requests": {
+                "a": {"completed": 1, "rejected": 0, "failed": 0},
+                "b": {"completed": 0, "rejected": 1, "failed": 1},
+            },
+            "upstream_requests": 0, "pending": 0, "members": 3, "members_unavailable": 1,
+        });
+        assert_eq!(figures, expected);
+    }
+}
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -2,11 +2,12 @@
 //! clock, and carries out its actions. It decides nothing itself.
 
 use crate::config::Config;
+use crate::counters::{Counters, Ending, Taken};
 use crate::discovery::{self, Health, List};
 use crate::idle::Idle;
 use crate::socket::Meter;
+use crate::upstream::Outgoing;
 use crate::upstream::{self, Connection, End};
-use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -66,8 +67,8 @@
 
 impl Forward {
     /// The request for one attempt, which is given up at `until`.
-    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, until: Instant, meter: &Meter) -> Request<Outgoing> {
+        let mut request = Request::new(Outgoing::new(self.body.clone(), meter));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
@@ -120,7 +121,7 @@
     fn withdraw(&mut self, id: CallId, events: &mut VecDeque<Event>, unwanted: impl Fn(&Attempt) -> bool) {
         let closed = self.reply.is_none();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
-            if let Some(out) = out.take_if(|out| out.meter.get() == 0 && unwanted(out)) {
+            if let Some(out) = out.take_if(|out| out.meter.written() == 0 && unwanted(out)) {
                 events.push_back(ended(id, attempt, Outcome::NotSent, out.sent.elapsed(), closed));
             }
         }
@@ -151,22 +152,6 @@
     idle: Vec<(Instant, Connection)>,
 }
 
-/// Figures for the log.
-#[derive(Debug, Default)]
-struct Counts {
-    requests: u64,
-    /// Requests that the module turned away or failed; a fleet's refusals may all be its proxies' own.
-    refused: u64,
-    failed: u64,
-    attempts: u64,
-    opened: u64,
-    open_failed: u64,
-    broken_reuse: u64,
-    outcomes: BTreeMap<Outcome, u64>,
-    /// Requests that could not be used, by the status that they got.
-    unusable: BTreeMap<u16, u64>,
-}
-
 impl Host {
     /// Whether something new may be written to it at this address.
     fn takes(&self, address: SocketAddr) -> bool {
@@ -198,7 +183,9 @@
     woken: Rc<Notify>,
     /// Ids of the calls that are open: no second one may have one of them.
     open: HashSet<HeaderValue>,
-    counts: Counts,
+    counters: Counters,
+    /// The listener takes connections.
+    accepting: bool,
 }
 
 /// The driver, shared by the tasks of one thread. No method waits, and none is called from within another.
@@ -210,13 +197,21 @@
     driver: Handle,
     call: CallId,
     reply: oneshot::Receiver<Reply>,
+    taken: Option<Taken>,
 }
 
 impl Waiting {
     /// The call's final answer.
     pub async fn reply(mut self) -> Reply {
         // The sender is only ever dropped with the call, after an answer or with the process.
-        (&mut self.reply).await.unwrap_or(Reply::Failed)
+        let reply = (&mut self.reply).await.unwrap_or(Reply::Failed);
+        let ending = match reply {
+            Reply::Served(_) => Ending::Completed,
+            Reply::Refused(_) => Ending::Rejected,
+            Reply::Failed => Ending::Failed,
+        };
+        self.taken.take().into_iter().for_each(|taken| taken.end(ending));
+        reply
     }
 }
 
@@ -248,7 +243,8 @@
             wake: None,
             woken: Rc::default(),
             open: HashSet::new(),
-            counts: Counts::default(),
+            counters: Counters::new(config.classes.len()),
+            accepting: false,
             config: config.clone(),
         };
         let handle = Handle(Rc::new(RefCell::new(driver)));
@@ -304,7 +300,7 @@
         let (calls, open) = (driver.calls.len(), Rc::strong_count(&driver.slots) - 1);
         crate::log(&format!(
             "{calls} calls, {open} connections ({idle} idle, kept for {keep:?}), {:?}",
-            driver.counts
+            driver.counters.get()
         ));
     }
 
@@ -315,7 +311,7 @@
         if !driver.open.insert(id.clone()) {
             return None;
         }
-        driver.counts.requests += 1;
+        let taken = driver.counters.take(class);
         driver.next_call += 1;
         let call = CallId(driver.next_call);
         let (sender, reply) = oneshot::channel();
@@ -324,7 +320,7 @@
         driver.calls.insert(call, Call { id, forward, deadline, reply: Some(sender), attempts });
         drop(driver);
         self.run([Event::Request { call, class, tenant, time_left, resent }]);
-        Some(Waiting { driver: self.clone(), call, reply })
+        Some(Waiting { driver: self.clone(), call, reply, taken: Some(taken) })
     }
 
     fn gone(&self, id: CallId) {
@@ -389,9 +385,9 @@
     ) -> End {
         let exchange = async {
             if let Some((idle, connection)) = kept {
-                let end = upstream::exchange(connection, forward.request(until), meter).await;
+                let end = upstream::exchange(connection, forward.request(until, meter), meter).await;
                 let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
-                self.count(|counts| counts.broken_reuse += u64::from(broken));
+                self.counters().count().broken_reuse += u64::from(broken);
                 self.0.borrow_mut().idle.used(idle, broken);
                 if let Some(end) = end {
                     return end;
@@ -403,16 +399,15 @@
             };
             let limit = self.config().connect_timeout;
             let opened = Connection::open(address, limit, slot).await;
-            self.count(|counts| {
-                *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1
-            });
+            self.counters().count().opened += u64::from(opened.is_ok());
+            self.counters().count().open_failed += u64::from(opened.is_err());
             let end = match opened {
-                Ok(connection) => upstream::exchange(connection, forward.request(until), meter).await,
+                Ok(connection) => upstream::exchange(connection, forward.request(until, meter), meter).await,
                 Err(_) => None,
             };
             end.unwrap_or_else(|| End::without_answer(Outcome::NoConnection))
         };
-        let late = |_| match meter.get() {
+        let late = |_| match meter.written() {
             0 => End::without_answer(Outcome::NoConnection),
             _ => End::without_answer(Outcome::TimedOut),
         };
@@ -421,11 +416,33 @@
 
     /// Counts a request that was turned away with this status, unseen by the module.
     pub fn count_unusable(&self, status: StatusCode) {
-        self.count(|counts| *counts.unusable.entry(status.as_u16()).or_default() += 1);
+        self.counters().count().unusable(status);
+    }
+
+    fn counters(&self) -> Counters {
+        self.0.borrow().counters.clone()
+    }
+
+    /// Notes whether the listener takes connections.
+    pub fn set_accepting(&self, accepting: bool) {
+        self.0.borrow_mut().accepting = accepting;
+    }
+
+    /// Whether this process takes clients: it listens and has a list of hosts.
+    pub fn takes_clients(&self) -> bool {
+        let driver = self.0.borrow();
+        driver.accepting && driver.listed
     }
 
-    fn count(&self, count: impl FnOnce(&mut Counts)) {
-        count(&mut self.0.borrow_mut().counts);
+    /// The figures so far, as operators read them.
+    pub fn figures(&self) -> serde_json::Value {
+        let driver = self.0.borrow();
+        // A host that finishes its work gets no more by the list's own word, whatever the module makes of it.
+        let ready = driver.hosts.values().filter(|host| host.health == Health::Ready).count();
+        let avoided = driver.balancer.avoided(driver.clock.at(Instant::now()));
+        let (members, finishing) = (driver.hosts.len(), driver.hosts.len() - ready);
+        let figures = driver.counters.get();
+        figures.to_json(&driver.config.classes, members, avoided + finishing)
     }
 
     fn finish(&self, id: CallId, attempt: u32, mut end: End) {
@@ -458,7 +475,7 @@
         let mut actions = Vec::new();
         while let Some(event) = driver.events.pop_front() {
             if let Event::Outcome { outcome, .. } = event {
-                *driver.counts.outcomes.entry(outcome).or_default() += 1;
+                driver.counters.count().outcome(outcome);
             }
             let now = driver.clock.at(Instant::now());
             driver.balancer.handle(now, event, &mut actions);
@@ -495,13 +512,9 @@
         match action {
             Action::Send { call, server } => self.send(handle, call, server),
             Action::Refuse { call, retry_after } => {
-                self.counts.refused += 1;
                 self.answer(call, Reply::Refused(Duration::from_micros(retry_after)));
             }
-            Action::Fail { call } => {
-                self.counts.failed += 1;
-                self.answer(call, Reply::Failed);
-            }
+            Action::Fail { call } => self.answer(call, Reply::Failed),
             Action::Cancel { call, attempt } => self.cancel(call, attempt),
             Action::Wake { after } => {
                 self.wake = Some(Instant::now() + Duration::from_micros(after));
@@ -525,7 +538,7 @@
             let closed = call.reply.is_none();
             return self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
-        let (meter, forward, address) = (Meter::default(), call.forward.clone(), host.dial);
+        let (meter, forward, address) = (Meter::new(&self.counters), call.forward.clone(), host.dial);
         // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
         host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
         let kept = host.idle.pop().map(|(since, connection)| (since.elapsed(), connection));
@@ -536,7 +549,7 @@
                 handle.finish(id, attempt, end);
             })
         };
-        self.counts.attempts += 1;
+        self.counters.count().attempts += 1;
         if let Some(call) = self.calls.get_mut(&id) {
             call.attempts.push(Some(Attempt { server, address, sent: now, meter, _task: task }));
         }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admin;
 pub mod config;
+pub mod counters;
 pub mod discovery;
 pub mod driver;
 mod idle;
@@ -23,15 +25,26 @@
     let _ = writeln!(io::stderr(), "nettleworks: {line}");
 }
 
+/// Where the program listens.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For clients.
+    pub clients: TcpListener,
+    /// For operators, if they have an address.
+    pub operators: Option<TcpListener>,
+}
+
 /// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
 /// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
-    listener: TcpListener,
+    listeners: Listeners,
     mut reload: impl AsyncFnMut() -> Option<Result<Config, String>>,
     stop: impl Future<Output = ()>,
 ) {
     let driver = driver::Handle::start(Rc::new(config));
+    let operators =
+        listeners.operators.map(|listener| upstream::spawn(admin::serve(listener, driver.clone())));
     let reloads = async {
         while let Some(config) = reload().await {
             match config {
@@ -43,7 +56,8 @@
         std::future::pending().await
     };
     tokio::select! {
-        () = server::serve(listener, driver.clone(), stop) => driver.log_counts(),
+        () = server::serve(listeners.clients, driver.clone(), stop) => driver.log_counts(),
         () = reloads => {}
     }
+    drop(operators);
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -2,8 +2,9 @@
 #![forbid(unsafe_code)]
 
 use nettleworks::config::Config;
-use nettleworks::server;
-use std::io::Write;
+use nettleworks::{admin, server, Listeners};
+use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use tokio::runtime;
@@ -29,7 +30,13 @@
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let config = Config::load(path)?;
-        let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let named = |address: SocketAddr| move |error: io::Error| format!("{address}: {error}");
+        let clients = server::listen(config.listen).map_err(named(config.listen))?;
+        let operators = match admin(&config)? {
+            Some(address) => Some(admin::listen(address).map_err(named(address))?),
+            None => None,
+        };
+        let listeners = Listeners { clients, operators };
         let stop = async move {
             terminate.recv().await;
         };
@@ -37,8 +44,16 @@
             hangup.recv().await?;
             Some(Config::load(path))
         };
-        nettleworks::run(config, listener, reload, stop).await;
+        nettleworks::run(config, listeners, reload, stop).await;
         // What is left are tasks without a client: the watch, idle connections.
         Ok(())
     })
 }
+
+/// Where operators call: the environment is this process's own, while the file may be another's as well.
+fn admin(config: &Config) -> Result<Option<SocketAddr>, String> {
+    match std::env::var("ROUTER_ADMIN") {
+        Ok(address) => address.parse().map(Some).map_err(|e| format!("ROUTER_ADMIN: {e}")),
+        Err(_) => Ok(config.admin),
+    }
+}
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -61,6 +61,7 @@
         stop.await;
         sleep(STOP_DELAY).await;
     });
+    clients.driver.set_accepting(true);
     let mut sweeps = interval(SWEEP);
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -88,6 +89,7 @@
         clients.serve(stream);
     }
     drop(listener);
+    clients.driver.set_accepting(false);
     // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
     let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
 }
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that hyper's task and the connection's owner share. The owner can close it at once, whatever that
 //! task does, can look at what has come and was not read, and knows what was written and read.
 
+use crate::counters::Counters;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -13,8 +14,45 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Bytes that were written for one attempt: none means that no host can have seen it.
-pub type Meter = Rc<Cell<usize>>;
+#[derive(Debug, Default)]
+struct Written {
+    bytes: Cell<usize>,
+    ended: Cell<bool>,
+    whole: Cell<bool>,
+    counters: Counters,
+}
+
+/// What was written for one attempt; clones are the same meter.
+#[derive(Clone, Debug, Default)]
+pub struct Meter(Rc<Written>);
+
+impl Meter {
+    /// The meter of a new attempt, which is counted once its last byte is written.
+    pub fn new(counters: &Counters) -> Meter {
+        Meter(Rc::new(Written { counters: counters.clone(), ..Written::default() }))
+    }
+
+    /// Bytes written so far: none means that no host can have seen the attempt.
+    pub fn written(&self) -> usize {
+        self.0.bytes.get()
+    }
+
+    /// The end of the request has been handed over; what is flushed after that is all of it.
+    pub fn set_ended(&self) {
+        self.0.ended.set(true);
+    }
+
+    fn wrote(&self, bytes: usize) {
+        self.0.bytes.set(self.0.bytes.get() + bytes);
+    }
+
+    /// Nothing of what was handed over is left to be written.
+    fn flushed(&self) {
+        if self.0.ended.get() && self.0.bytes.get() > 0 && !self.0.whole.replace(true) {
+            self.0.counters.count().sent_whole();
+        }
+    }
+}
 
 #[derive(Debug)]
 struct Inner {
@@ -95,15 +133,17 @@
         let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
-            let meter = self.0.meter.borrow();
-            meter.set(meter.get() + count);
+            self.0.meter.borrow().wrote(count);
         }
         written
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut io = self.0.io.borrow_mut();
-        io.as_mut().map_or(Poll::Ready(Ok(())), |io| Pin::new(io).poll_flush(context))
+        let Some(io) = io.as_mut() else { return Poll::Ready(Ok(())) };
+        // hyper flushes when it has nothing left to write.
+        self.0.meter.borrow().flushed();
+        Pin::new(io).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -2,16 +2,19 @@
 
 use crate::socket::{Meter, Socket};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use ochrepond::{Load, Outcome};
+use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{yield_now, AbortHandle};
@@ -58,7 +61,7 @@
 /// A connection to a host. It is closed when this is dropped, also with a request out on it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     socket: Socket,
     /// How often it had been read when its last answer was whole.
     reads: u64,
@@ -89,6 +92,50 @@
     }
 }
 
+/// The body of one attempt. It tells the attempt's meter when its end has been handed over.
+#[derive(Debug)]
+pub struct Outgoing {
+    body: Full<Bytes>,
+    meter: Meter,
+}
+
+impl Outgoing {
+    /// A body that is there whole.
+    pub fn new(body: Bytes, meter: &Meter) -> Outgoing {
+        let outgoing = Outgoing { body: Full::new(body), meter: meter.clone() };
+        outgoing.note_end();
+        outgoing
+    }
+
+    fn note_end(&self) {
+        if self.body.is_end_stream() {
+            self.meter.set_ended();
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        self.note_end();
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct End {
@@ -111,16 +158,12 @@
 
 /// Sends a request on a connection and reads the whole answer. `None`: the connection was found closed before
 /// any of the request was written.
-pub async fn exchange(
-    mut connection: Connection,
-    request: Request<Full<Bytes>>,
-    meter: &Meter,
-) -> Option<End> {
+pub async fn exchange(mut connection: Connection, request: Request<Outgoing>, meter: &Meter) -> Option<End> {
     connection.socket.count(meter);
     let (kept, started) = (connection.reads > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
-        Err(_) if meter.get() == 0 => return None,
+        Err(_) if meter.written() == 0 => return None,
         Err(error) => {
             // The one read since is that of its end: nothing of an answer has come.
             let unanswered = kept && connection.socket.reads() <= connection.reads + 1;
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -284,6 +284,7 @@
 /// A running proxy.
 pub struct Proxy {
     pub address: SocketAddr,
+    pub admin: Option<SocketAddr>,
     pub stop: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<()>,
 }
@@ -303,10 +304,13 @@
         let listener = nettleworks::server::listen(config.listen).expect("it listens");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
-        let task = spawn_local(nettleworks::run(config, listener, async || None, async {
+        let operators = config.admin.map(|address| nettleworks::admin::listen(address).expect("it listens"));
+        let admin = operators.as_ref().map(|listener| listener.local_addr().expect("an address"));
+        let listeners = nettleworks::Listeners { clients: listener, operators };
+        let task = spawn_local(nettleworks::run(config, listeners, async || None, async {
             let _ = stopped.await;
         }));
-        Proxy { address, stop: Some(stop), task }
+        Proxy { address, admin, stop: Some(stop), task }
     }
 
     pub async fn client(&self) -> Client {
