--- a/src/balance.rs
+++ b/src/balance.rs
@@ -182,8 +182,7 @@
         self.set_timer(now, actions);
     }
 
-    /// How many servers of the list get no calls of the ordinary kind now: they are set aside, or in a zone that is
-    /// passed over.
+    /// How many servers of the list get no ordinary calls now: they are set aside, or in a zone passed over.
     pub fn avoided(&self, now: Micros) -> usize {
         let avoided = |s: &&Server| s.listed && (s.budget.steps == 0 || !self.near(now, s));
         self.servers.iter().filter(avoided).count()
