Let a new process take over the address from the old one

At fault: the listener's bind without SO_REUSEPORT, and a stop that let hyper close connections on which a request had already come.

Both listen now; SIGTERM makes the old one lead connections to the newer listener by a filter on the shared address.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -13,6 +13,9 @@
 /// operators, and some to spare.
 const SPARE_DESCRIPTORS: usize = 20 + CALLERS_MOST;
 
+/// Connections that a process may hold however little it has been left.
+const CONNECTIONS_LEAST: usize = 10;
+
 /// The configuration, checked.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -24,8 +27,10 @@
     pub admin: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
-    /// Most file descriptors that the process may hold.
+    /// Most file descriptors that the program's processes may hold together.
     pub sockets: usize,
+    /// How many processes share them.
+    pub processes: usize,
     /// The hosts as this proxy last had them; maybe old.
     pub known: Option<List>,
     /// What the decision module is told.
@@ -109,6 +114,7 @@
             admin: file.admin,
             seed,
             sockets: file.limits.sockets,
+            processes: 1,
             known: file.known,
             settings,
             classes,
@@ -127,19 +133,29 @@
         (Config { discovery, sockets, connect_timeout, conn_idle, ..self.clone() }, differs)
     }
 
+    /// Descriptors of this process for connections to clients and hosts.
+    fn connections(&self) -> usize {
+        (self.sockets / self.processes).saturating_sub(SPARE_DESCRIPTORS).max(CONNECTIONS_LEAST)
+    }
+
     /// Most connections to hosts: clients hold a third of the descriptors at most for requests, and each request
     /// has one connection to a host.
     pub fn connections_to_hosts(&self) -> usize {
-        (self.sockets - SPARE_DESCRIPTORS) * 2 / 5
+        self.connections() * 2 / 5
     }
 
     /// Most connections to clients: the rest, as some clients connect and ask for nothing.
     pub fn connections_to_clients(&self) -> usize {
-        self.sockets - SPARE_DESCRIPTORS - self.connections_to_hosts()
+        self.connections() - self.connections_to_hosts()
     }
 
     /// Connections to clients beyond which idle ones are dear: half of what clients hold at most for requests.
     pub fn crowded_from(&self) -> usize {
-        self.sockets / 6
+        self.sockets / self.processes / 6
+    }
+
+    /// How long requests that were taken before the order to stop are given at the most.
+    pub fn longest_deadline(&self) -> Duration {
+        Duration::from_micros(self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
     }
 }
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -186,6 +186,10 @@
     counters: Counters,
     /// The listener takes connections.
     accepting: bool,
+    /// When the process ends, if that is known.
+    end: Option<Instant>,
+    /// Told of each list.
+    news: Rc<Notify>,
 }
 
 /// The driver, shared by the tasks of one thread. No method waits, and none is called from within another.
@@ -245,6 +249,8 @@
             open: HashSet::new(),
             counters: Counters::new(config.classes.len()),
             accepting: false,
+            end: None,
+            news: Rc::default(),
             config: config.clone(),
         };
         let handle = Handle(Rc::new(RefCell::new(driver)));
@@ -315,6 +321,7 @@
         driver.next_call += 1;
         let call = CallId(driver.next_call);
         let (sender, reply) = oneshot::channel();
+        let deadline = driver.end.map_or(deadline, |end| deadline.min(end));
         let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let (forward, attempts) = (Rc::new(forward), Vec::new());
         driver.calls.insert(call, Call { id, forward, deadline, reply: Some(sender), attempts });
@@ -344,6 +351,7 @@
         let cached = watch.is_none();
         driver.listed |= !cached || !list.hosts.is_empty();
         driver.seq = Some(list.seq);
+        driver.news.notify_one();
         let kind = match list.whole {
             _ if cached => ListKind::Cached,
             true => ListKind::Full,
@@ -423,6 +431,29 @@
         self.0.borrow().counters.clone()
     }
 
+    /// Returns once there is a list of hosts.
+    pub async fn listed(&self) {
+        let news = self.0.borrow().news.clone();
+        while !self.is_ready() {
+            news.notified().await;
+        }
+    }
+
+    /// Shares the limits with so many processes of the program, this one included. What is idle beyond this one's
+    /// part is closed.
+    pub fn share(&self, processes: usize) {
+        let mut driver = self.0.borrow_mut();
+        driver.config = Rc::new(Config { processes, ..Config::clone(&driver.config) });
+        while Rc::strong_count(&driver.slots) > driver.config.connections_to_hosts() && driver.close_oldest()
+        {
+        }
+    }
+
+    /// No request is to be open after this; those that come from here on get their answers by then.
+    pub fn end_by(&self, end: Instant) {
+        self.0.borrow_mut().end = Some(end);
+    }
+
     /// Notes whether the listener takes connections.
     pub fn set_accepting(&self, accepting: bool) {
         self.0.borrow_mut().accepting = accepting;
@@ -639,12 +670,19 @@
     /// A place for one more connection to a host; the oldest idle one makes room when there is none.
     fn slot(&mut self) -> Option<Rc<()>> {
         if Rc::strong_count(&self.slots) > self.config.connections_to_hosts() {
-            let oldest = self.hosts.values_mut().filter(|host| !host.idle.is_empty());
-            drop(oldest.min_by_key(|host| host.idle[0].0)?.idle.remove(0));
+            self.close_oldest().then_some(())?;
         }
         Some(self.slots.clone())
     }
 
+    /// Closes the connection that has been idle for the longest; whether there was one.
+    fn close_oldest(&mut self) -> bool {
+        let oldest = self.hosts.values_mut().filter(|host| !host.idle.is_empty());
+        let Some(host) = oldest.min_by_key(|host| host.idle[0].0) else { return false };
+        drop(host.idle.remove(0));
+        true
+    }
+
     /// How long a connection may have stood idle and still be used.
     fn keep(&self) -> Duration {
         let told = self.config.conn_idle.mul_f64(IDLE_PART);
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod driver;
+pub mod handover;
 mod idle;
 mod requests;
 pub mod server;
@@ -17,8 +18,11 @@
 use config::Config;
 use std::future::Future;
 use std::io::{self, Write};
+use std::path::PathBuf;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::timeout;
 
 /// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
 fn log(line: &str) {
@@ -28,20 +32,25 @@
 /// Where the program listens.
 #[derive(Debug)]
 pub struct Listeners {
-    /// For clients.
-    pub clients: TcpListener,
+    /// For clients. It begins to listen once there is a list of hosts, or after a while without one.
+    pub clients: TcpSocket,
     /// For operators, if they have an address.
     pub operators: Option<TcpListener>,
 }
 
+/// How long clients are kept waiting for a list of hosts: without one they are at least told so.
+const LIST_WAIT: Duration = Duration::from_secs(2);
+
 /// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
-/// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
+/// time there is one, and `None` when none will come. `folder` is where a second process of the program shows itself, if
+/// there may be one. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
     listeners: Listeners,
+    folder: Option<PathBuf>,
     mut reload: impl AsyncFnMut() -> Option<Result<Config, String>>,
     stop: impl Future<Output = ()>,
-) {
+) -> io::Result<()> {
     let driver = driver::Handle::start(Rc::new(config));
     let operators =
         listeners.operators.map(|listener| upstream::spawn(admin::serve(listener, driver.clone())));
@@ -55,9 +64,31 @@
         }
         std::future::pending().await
     };
-    tokio::select! {
-        () = server::serve(listeners.clients, driver.clone(), stop) => driver.log_counts(),
-        () = reloads => {}
-    }
+    let _presence = folder.map(|folder| upstream::spawn(share(folder, driver.clone())));
+    let serving = async {
+        // A client that connects before there is a list could only be turned away, and one of a process that is to be
+        // replaced would have been served there.
+        let _ = timeout(LIST_WAIT, driver.listed()).await;
+        server::serve(listeners.clients.listen(server::BACKLOG)?, driver.clone(), stop).await;
+        driver.log_counts();
+        Ok(())
+    };
+    let ended = tokio::select! {
+        ended = serving => ended,
+        () = reloads => Ok(()),
+    };
     drop(operators);
+    ended
+}
+
+/// Shares the limits with another process of the program for as long as there is one.
+async fn share(folder: PathBuf, driver: driver::Handle) {
+    let shared = |shared| {
+        log(if shared { "another process serves too" } else { "no other process serves any more" });
+        driver.share(if shared { 2 } else { 1 });
+    };
+    match handover::show_presence(&folder, shared).await {
+        Ok(_lock) => std::future::pending().await,
+        Err(error) => log(&format!("{}: {error}", folder.display())),
+    }
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -2,10 +2,10 @@
 #![forbid(unsafe_code)]
 
 use nettleworks::config::Config;
-use nettleworks::{admin, server, Listeners};
+use nettleworks::{admin, handover, Listeners};
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::runtime;
 use tokio::signal::unix::{signal, SignalKind};
@@ -31,7 +31,7 @@
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let config = Config::load(path)?;
         let named = |address: SocketAddr| move |error: io::Error| format!("{address}: {error}");
-        let clients = server::listen(config.listen).map_err(named(config.listen))?;
+        let clients = handover::bind(config.listen).map_err(named(config.listen))?;
         let operators = match admin(&config)? {
             Some(address) => Some(admin::listen(address).map_err(named(address))?),
             None => None,
@@ -44,9 +44,9 @@
             hangup.recv().await?;
             Some(Config::load(path))
         };
-        nettleworks::run(config, listeners, reload, stop).await;
-        // What is left are tasks without a client: the watch, idle connections.
-        Ok(())
+        let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+        // What is left after it are tasks without a client: the watch, idle connections.
+        nettleworks::run(config, listeners, folder, reload, stop).await.map_err(|e| e.to_string())
     })
 }
 
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,6 +1,7 @@
 //! The application's connections: takes them in, closes those that are due or in the way, and stops.
 
 use crate::driver::Handle;
+use crate::handover::lead_away;
 use crate::log;
 use crate::requests::{answer, Arrival};
 use crate::socket::Socket;
@@ -8,25 +9,24 @@
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
-use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+pub const BACKLOG: u32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
-/// How long open requests are waited for after that: the longest deadline.
-const STOP_MOST: Duration = Duration::from_secs(3);
+/// How long open requests are waited for: the longest deadline, taken as this where it is longer, and a margin that
+/// ends before the process is killed.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+const STOP_MARGIN: Duration = Duration::from_millis(600);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
 const WHOLE_TIME: Duration = Duration::from_millis(2_500);
@@ -43,55 +43,24 @@
 /// Pause after a failure to accept, which descriptors that are set free must end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
-/// next one from starting.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
 /// between requests and returns when none is left.
 pub async fn serve(listener: TcpListener, driver: Handle, stop: impl Future<Output = ()>) {
-    let mut clients =
-        Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new(), crowded: Rc::default() };
-    let mut stop = pin!(async {
-        stop.await;
-        sleep(STOP_DELAY).await;
-    });
+    let longest = driver.config().longest_deadline().min(DEADLINE_MOST);
+    let mut clients = Clients { driver, open: Vec::new(), crowded: Rc::default(), stopping: Rc::default() };
     clients.driver.set_accepting(true);
-    let mut sweeps = interval(SWEEP);
-    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        let room = clients.make_room();
-        tokio::select! {
-            accepted = listener.accept(), if room => match accepted {
-                Ok((stream, _)) => {
-                    clients.serve(stream);
-                    // Those that ask at once are known from those that say nothing only when they are read.
-                    yield_now().await;
-                }
-                Err(error) => {
-                    log(&format!("accept: {error}"));
-                    clients.evict();
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            },
-            _ = sweeps.tick() => clients.sweep(),
-            () = &mut stop => break,
-        }
-    }
+    clients.accept(&listener, stop).await;
+    let stopped = Instant::now();
+    clients.stop(&listener, stopped + longest + STOP_MARGIN);
+    clients.accept(&listener, sleep(STOP_DELAY)).await;
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.make_room() {
         let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { break };
         clients.serve(stream);
     }
     drop(listener);
-    clients.driver.set_accepting(false);
     // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-    let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
+    let _ = timeout_at(stopped + longest + STOP_MARGIN, clients.finish()).await;
 }
 
 /// What a client's connection is at, and since when.
@@ -161,13 +130,68 @@
 /// The connections of clients.
 struct Clients {
     driver: Handle,
-    graceful: GracefulShutdown,
     open: Vec<Client>,
     /// More are open than half of what clients may hold for requests.
     crowded: Rc<Cell<bool>>,
+    /// The process is to end: each connection ends with its next answer.
+    stopping: Rc<Cell<bool>>,
 }
 
 impl Clients {
+    /// Takes connections until `until` is done.
+    async fn accept(&mut self, listener: &TcpListener, until: impl Future<Output = ()>) {
+        let mut until = pin!(until);
+        let mut sweeps = interval(SWEEP);
+        sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let room = self.make_room();
+            tokio::select! {
+                accepted = listener.accept(), if room => match accepted {
+                    Ok((stream, _)) => {
+                        self.serve(stream);
+                        // Those that ask at once are known from those that say nothing only when they are read.
+                        yield_now().await;
+                    }
+                    Err(error) => {
+                        log(&format!("accept: {error}"));
+                        self.evict();
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                _ = sweeps.tick() => self.sweep(),
+                () = &mut until => break,
+            }
+        }
+    }
+
+    /// The process is to end, by `end` at the latest: clients are led to its successor, if there is one.
+    fn stop(&self, listener: &TcpListener, end: Instant) {
+        self.stopping.set(true);
+        self.driver.set_accepting(false);
+        self.driver.end_by(end);
+        self.driver.share(2);
+        if let Err(error) = lead_away(listener) {
+            log(&format!("connections go on coming here: {error}"));
+        }
+    }
+
+    /// Closes connections between requests, and returns when none is left.
+    async fn finish(&mut self) {
+        let mut sweeps = interval(SWEEP);
+        sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.open.is_empty() {
+            sweeps.tick().await;
+            self.sweep();
+            self.open.retain(|client| {
+                let leaves = client.is_due(Instant::now(), Duration::ZERO);
+                if leaves {
+                    client.close();
+                }
+                !leaves
+            });
+        }
+    }
+
     /// Whether one more connection may be open. At the limit one is closed for it: first those that never asked,
     /// then the one that has been idle the longest. Clients that keep connections and say nothing must not keep
     /// others out.
@@ -216,17 +240,19 @@
         let phase = Rc::new(Cell::new(Phase::New(Instant::now())));
         let (driver, state, read) = (self.driver.clone(), phase.clone(), socket.clone());
         let (crowded, asked) = (self.crowded.clone(), Rc::new(Cell::new(false)));
+        let stopping = self.stopping.clone();
         let service = service_fn(move |request| {
             let arrival = Arrival { whole_by: state.get().whole_by(&read), socket: read.clone() };
             let (driver, state, reads) = (driver.clone(), state.clone(), read.reads());
             let (crowded, first) = (crowded.clone(), !asked.replace(true));
+            let stopping = stopping.clone();
             async move {
                 state.set(Phase::Open);
                 let socket = arrival.socket.clone();
                 let mut answer = answer(driver, request, arrival).await;
                 // Many who ask once and keep their connections leave none for those who ask again. An answer that
                 // says so closes without crossing a request, and at once.
-                if first && crowded.get() {
+                if stopping.get() || first && crowded.get() {
                     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 // What was read meanwhile may be half of the next request.
@@ -241,7 +267,6 @@
             .header_read_timeout(None)
             .max_buf_size(HEAD_MOST)
             .serve_connection(socket.clone(), service);
-        let connection = self.graceful.watch(connection);
         let task = spawn_local(async move {
             // A connection that breaks ends its request's waiting, which tells the module.
             let _ = connection.await;
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -286,7 +286,7 @@
     pub address: SocketAddr,
     pub admin: Option<SocketAddr>,
     pub stop: Option<oneshot::Sender<()>>,
-    pub task: JoinHandle<()>,
+    pub task: JoinHandle<std::io::Result<()>>,
 }
 
 impl Proxy {
@@ -301,20 +301,26 @@
     ) -> Proxy {
         let config = configuration(discovery.address, hosts, change);
         let config = Config::parse(&config).expect("a good configuration");
-        let listener = nettleworks::server::listen(config.listen).expect("it listens");
+        let listener = nettleworks::handover::bind(config.listen).expect("bound");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
         let operators = config.admin.map(|address| nettleworks::admin::listen(address).expect("it listens"));
         let admin = operators.as_ref().map(|listener| listener.local_addr().expect("an address"));
         let listeners = nettleworks::Listeners { clients: listener, operators };
-        let task = spawn_local(nettleworks::run(config, listeners, async || None, async {
+        let task = spawn_local(nettleworks::run(config, listeners, None, async || None, async {
             let _ = stopped.await;
         }));
         Proxy { address, admin, stop: Some(stop), task }
     }
 
     pub async fn client(&self) -> Client {
-        Reader::new(TcpStream::connect(self.address).await.expect("the proxy accepts"))
+        // It listens only once it has a list of hosts, or has waited for one.
+        loop {
+            match TcpStream::connect(self.address).await {
+                Ok(stream) => return Reader::new(stream),
+                Err(_) => sleep(Duration::from_millis(1)).await,
+            }
+        }
     }
 }
 
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use common::*;
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read as _};
 use std::process::{Command, Stdio};
 use std::slice::from_ref;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
@@ -65,6 +66,64 @@
     });
 }
 
+/// What a call of operators gets, or nothing while nobody listens there.
+async fn call(admin: &str, line: &str) -> String {
+    let mut answer = String::new();
+    if let Ok(mut stream) = TcpStream::connect(admin).await {
+        stream.write_all(line.as_bytes()).await.expect("written");
+        stream.read_to_string(&mut answer).await.expect("an answer");
+    }
+    answer
+}
+
+/// The new process takes over the address; the old one answers what comes on its connections, and ends.
+#[test]
+fn a_new_process_takes_over_from_the_old_one() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let port = port();
+        let address = port.local_addr().expect("an address");
+        let config = configuration(discovery.address, from_ref(&host), |config| {
+            config["listen"] = address.to_string().into();
+        });
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("beside");
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let start = |admin: &str| {
+            let mut command = program(&config, "beside.json").0;
+            command.env("TMPDIR", &folder).env("ROUTER_ADMIN", admin).stderr(Stdio::null());
+            command.spawn().expect("it starts")
+        };
+        let (here, there) = ("127.0.0.4:9600", "127.0.0.4:9601");
+        let mut old = start(here);
+        while call(here, "health\n").await != "SUCCESS yes\n" {}
+        let mut client = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
+        let mut new = start(there);
+        while call(there, "health\n").await != "SUCCESS yes\n" {}
+        assert!(Command::new("kill").arg(old.id().to_string()).status().expect("kill runs").success());
+        while call(here, "health\n").await == "SUCCESS yes\n" {}
+        for _ in 0..16 {
+            let mut next = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
+            let answer = next.ask(&request("unsafe", "", "")).await;
+            assert_eq!((answer.status(), answer.header("connection")), (200, None), "it is the new one's");
+        }
+        let last = client.ask(&request("unsafe", "", "")).await;
+        assert_eq!((last.status(), last.header("connection")), (200, Some("close")), "it is the old one's");
+        assert!(client.message().await.is_none());
+        let ended = loop {
+            match old.try_wait().expect("it can be waited for") {
+                Some(status) => break status,
+                None => sleep(Duration::from_millis(5)).await,
+            }
+        };
+        assert!(ended.success());
+        assert_eq!(call(there, "health\n").await, "SUCCESS yes\n");
+        new.kill().expect("it still runs");
+        new.wait().expect("it can be waited for");
+    });
+}
+
 /// SIGHUP must not end the program. It reads its file again and goes on with the hosts that it has; it watches
 /// the new discovery at once, from the version in hand, and what the old one still says no longer counts.
 #[test]
