--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -139,6 +139,7 @@
                             tenant: input.user_group.and_then(|t| place(&instance.tenants, &t)).map(TenantId),
                             time_left: need(input.time_budget_us, verb, "time_budget_us")?,
                             resent: input.resent,
+                            once: false,
                         }
                     }
                     "DONE" => {
--- /dev/null
+++ b/proxy/src/body.rs
@@ -0,0 +1,484 @@
+//! Bodies on their way through: a client's as it comes, one attempt's as it goes out, an answer's as it is passed on.
+//! Small ones are gathered, larger ones are never held whole.
+
+use crate::counters::{Ending, Taken};
+use crate::socket::{Meter, Socket};
+use crate::upstream::BoxError;
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::StatusCode;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant, Sleep};
+
+/// Most bytes of a body that is gathered.
+pub const SMALL_MOST: usize = 64 << 10;
+/// Most bytes of any body.
+pub const BODY_MOST: u64 = 40 << 20;
+/// What an honest client sends in a second at the least, with some slack, and the most that it can be ahead of that.
+const PACE: f64 = 48_000.0;
+const PATIENCE_MOST: Duration = Duration::from_secs(3);
+/// How long a host may say nothing in the middle of an answer.
+const SILENCE: Duration = Duration::from_secs(10);
+/// How long what is still to come of a body that is of no use is read: closing on a client that is sending would reset
+/// the connection, and the answer might be lost with it.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// The bytes that all gathered bodies together may take.
+#[derive(Clone, Debug)]
+pub struct Memory(Arc<AtomicUsize>);
+
+impl Memory {
+    /// So many bytes.
+    pub fn new(bytes: usize) -> Memory {
+        Memory(Arc::new(AtomicUsize::new(bytes)))
+    }
+
+    /// Room for a body of up to so many bytes, if there is any.
+    pub fn reserve(&self, bytes: usize) -> Option<Room> {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes)?;
+        self.0.store(left, Ordering::Relaxed);
+        Some(Room { memory: self.clone(), bytes })
+    }
+}
+
+/// Bytes reserved; they are given back when this is dropped.
+#[derive(Debug)]
+pub struct Room {
+    memory: Memory,
+    bytes: usize,
+}
+
+impl Room {
+    /// Gives back what is more than so many bytes.
+    fn shrink(&mut self, bytes: usize) {
+        self.memory.0.fetch_add(self.bytes.saturating_sub(bytes), Ordering::Relaxed);
+        self.bytes = self.bytes.min(bytes);
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.shrink(0);
+    }
+}
+
+/// A body being gathered. What it takes is given back when the last reference to its bytes goes.
+#[derive(Debug)]
+pub struct Gathered {
+    bytes: Vec<u8>,
+    room: Room,
+}
+
+impl AsRef<[u8]> for Gathered {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Gathered {
+    /// For a body of this length, if it is known; `None` if it is too long, or there is no room for it.
+    pub fn new(memory: &Memory, length: Option<u64>) -> Option<Gathered> {
+        let length = length.map_or(Some(SMALL_MOST), |length| usize::try_from(length).ok());
+        let room = memory.reserve(length.filter(|length| *length <= SMALL_MOST)?)?;
+        Some(Gathered { bytes: Vec::new(), room })
+    }
+
+    /// Takes one more piece in; `false`: it does not fit any more, all the same it is there.
+    pub fn push(&mut self, piece: &[u8]) -> bool {
+        self.bytes.extend_from_slice(piece);
+        self.bytes.len() <= self.room.bytes
+    }
+
+    /// All that was gathered.
+    pub fn into_bytes(mut self) -> Bytes {
+        self.bytes.shrink_to_fit();
+        self.room.shrink(self.bytes.len());
+        Bytes::from_owner(self)
+    }
+}
+
+/// Why a client's body did not come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It came too slowly.
+    Slow,
+    /// It is too long.
+    Long,
+    /// It could not be read, or broke off.
+    Unreadable,
+}
+
+impl Fault {
+    /// What the client is told.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Fault::Slow => StatusCode::REQUEST_TIMEOUT,
+            Fault::Long => StatusCode::PAYLOAD_TOO_LARGE,
+            Fault::Unreadable => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the client's body: {self:?}")
+    }
+}
+
+impl std::error::Error for Fault {}
+
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    /// What was gathered before it turned out to be long.
+    first: Option<Bytes>,
+    read: u64,
+    /// How much longer the client may take, while it is waited for.
+    patience: Duration,
+    waiting: Option<(Instant, Pin<Box<Sleep>>)>,
+}
+
+/// A client's body as it comes. Time counts only while the client is waited for, not while nobody reads.
+#[derive(Debug)]
+pub struct Upload {
+    source: RefCell<Source>,
+    socket: Socket,
+    length: Option<u64>,
+    spent: Cell<bool>,
+    /// When its last byte came, or why it will not.
+    end: Cell<Option<Result<Instant, Fault>>>,
+    ended: Notify,
+}
+
+impl Upload {
+    /// A body that comes on this socket, of which something must have come by then.
+    pub fn new(body: Incoming, socket: Socket, by: Instant) -> Upload {
+        let length = body.size_hint().exact();
+        let patience = by.saturating_duration_since(Instant::now());
+        let source = Source { body, first: None, read: 0, patience, waiting: None };
+        let (spent, end, ended) = Default::default();
+        Upload { source: RefCell::new(source), socket, length, spent, end, ended }
+    }
+
+    /// Its length, if the head tells.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// Whether something of it was handed on, and can't be had again.
+    pub fn is_spent(&self) -> bool {
+        self.spent.get()
+    }
+
+    /// How it ended, if it has.
+    pub fn end(&self) -> Option<Result<Instant, Fault>> {
+        self.end.get()
+    }
+
+    /// Returns once it has ended, and how.
+    pub async fn ended(&self) -> Result<Instant, Fault> {
+        loop {
+            let ended = self.ended.notified();
+            match self.end.get() {
+                Some(end) => return end,
+                None => ended.await,
+            }
+        }
+    }
+
+    /// Gathers it, if it is short: then this is all of it. `None`: it is long; what was read of it comes first when it
+    /// is read again.
+    pub async fn gather(&self, memory: &Memory) -> Result<Option<Bytes>, Fault> {
+        let Some(mut gathered) = Gathered::new(memory, self.length) else { return Ok(None) };
+        while let Some(piece) = poll_fn(|context| self.poll_piece(context)).await {
+            if !gathered.push(&piece?) {
+                self.source.borrow_mut().first = Some(gathered.into_bytes());
+                return Ok(None);
+            }
+        }
+        Ok(Some(gathered.into_bytes()))
+    }
+
+    /// Reads on and throws away, within bounds.
+    pub async fn drain(&self) {
+        let rest = async { while let Some(Ok(_)) = poll_fn(|context| self.poll_piece(context)).await {} };
+        let _ = timeout(DRAIN_TIME, rest).await;
+    }
+
+    fn finish(&self, end: Result<Instant, Fault>) {
+        self.end.set(Some(end));
+        self.ended.notify_waiters();
+    }
+
+    fn poll_piece(&self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        // It may have ended while it was gathered.
+        if let Some(first) = self.source.borrow_mut().first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        match self.end.get() {
+            Some(Ok(_)) => return Poll::Ready(None),
+            Some(Err(fault)) => return Poll::Ready(Some(Err(fault))),
+            None => {}
+        }
+        let piece = ready!(self.source.borrow_mut().poll_piece(context));
+        match piece {
+            Some(Err(fault)) => self.finish(Err(fault)),
+            None => self.finish(Ok(self.socket.read_at())),
+            // The last byte of a known length is the end: none may ask for what follows it.
+            Some(Ok(_)) if self.source.borrow().body.is_end_stream() => {
+                self.finish(Ok(self.socket.read_at()))
+            }
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(piece)
+    }
+}
+
+impl Source {
+    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) else { break };
+            self.stop_waiting();
+            let data = match frame {
+                None => return Poll::Ready(None),
+                Some(Err(_)) => return Poll::Ready(Some(Err(Fault::Unreadable))),
+                Some(Ok(frame)) => frame.into_data(),
+            };
+            // What follows the last chunk is not passed on.
+            let Ok(data) = data else { continue };
+            self.read += data.len() as u64;
+            if self.read > BODY_MOST {
+                return Poll::Ready(Some(Err(Fault::Long)));
+            }
+            let earned = Duration::from_secs_f64(data.len() as f64 / PACE);
+            self.patience = (self.patience + earned).min(PATIENCE_MOST);
+            return Poll::Ready(Some(Ok(data)));
+        }
+        let patience = self.patience;
+        let (_, timer) = self.waiting.get_or_insert_with(|| (Instant::now(), Box::pin(sleep(patience))));
+        ready!(timer.as_mut().poll(context));
+        Poll::Ready(Some(Err(Fault::Slow)))
+    }
+
+    fn stop_waiting(&mut self) {
+        if let Some((since, _)) = self.waiting.take() {
+            self.patience = self.patience.saturating_sub(since.elapsed());
+        }
+    }
+}
+
+/// A request's body, for its attempts.
+#[derive(Clone, Debug)]
+pub enum Payload {
+    /// All of it.
+    Whole(Bytes),
+    /// As it comes; it can be had once.
+    Upload(Rc<Upload>),
+}
+
+impl Payload {
+    /// Whether it can be had once only.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Whole(_) => None,
+            Payload::Upload(upload) => Some(upload),
+        }
+    }
+}
+
+/// The body of one attempt. It tells the attempt's meter when its end has been handed over.
+#[derive(Debug)]
+pub struct Outgoing {
+    whole: Full<Bytes>,
+    upload: Option<Rc<Upload>>,
+    meter: Meter,
+}
+
+impl Outgoing {
+    /// For an attempt with this meter.
+    pub fn new(payload: &Payload, meter: &Meter) -> Outgoing {
+        let (whole, upload) = match payload {
+            Payload::Whole(bytes) => (Full::new(bytes.clone()), None),
+            Payload::Upload(upload) => (Full::default(), Some(upload.clone())),
+        };
+        let outgoing = Outgoing { whole, upload, meter: meter.clone() };
+        outgoing.note_end();
+        outgoing
+    }
+
+    fn note_end(&self) {
+        if self.is_end_stream() {
+            self.meter.set_ended();
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        let frame = match &self.upload {
+            Some(upload) => {
+                let piece = ready!(upload.poll_piece(context));
+                upload.spent.set(true);
+                piece.map(|piece| piece.map(Frame::data))
+            }
+            None => ready!(Pin::new(&mut self.whole).poll_frame(context)).map(|Ok(frame)| Ok(frame)),
+        };
+        self.note_end();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.upload {
+            Some(upload) => matches!(upload.end(), Some(Ok(_))) && upload.source.borrow().first.is_none(),
+            None => self.whole.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.upload {
+            Some(upload) => upload.length.map_or_else(SizeHint::new, SizeHint::with_exact),
+            None => self.whole.size_hint(),
+        }
+    }
+}
+
+/// What becomes of a large answer's connection once all of it has been read.
+pub type Return = Box<dyn FnOnce()>;
+
+/// A large answer on its way from a host: what is read of it is what the client takes.
+pub struct Stream {
+    first: Option<Bytes>,
+    rest: Incoming,
+    read: u64,
+    silence: Option<Pin<Box<Sleep>>>,
+    /// Ends its exchange well, and closes its connection when dropped.
+    back: Option<Return>,
+    taken: Option<Taken>,
+}
+
+impl fmt::Debug for Stream {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Stream after {} bytes", self.read)
+    }
+}
+
+impl Stream {
+    /// An answer of which `first` has been read; `back` is called when the rest has been read as well.
+    pub fn new(first: Bytes, rest: Incoming, back: Return) -> Stream {
+        let read = first.len() as u64;
+        Stream { first: Some(first), rest, read, silence: None, back: Some(back), taken: None }
+    }
+
+    fn end(&mut self, ending: Ending) {
+        self.taken.take().into_iter().for_each(|taken| taken.end(ending));
+        if let (Some(back), Ending::Completed) = (self.back.take(), ending) {
+            back();
+        }
+    }
+
+    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BoxError>>> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(context) else { break };
+            self.silence = None;
+            let Some(frame) = frame else { return Poll::Ready(None) };
+            let Ok(data) = frame?.into_data() else { continue };
+            self.read += data.len() as u64;
+            if self.read > BODY_MOST {
+                return Poll::Ready(Some(Err("the answer is too long".into())));
+            }
+            return Poll::Ready(Some(Ok(data)));
+        }
+        let silence = self.silence.get_or_insert_with(|| Box::pin(sleep(SILENCE)));
+        ready!(silence.as_mut().poll(context));
+        Poll::Ready(Some(Err("the answer stands still".into())))
+    }
+}
+
+/// An answer's body.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// As it comes.
+    Stream(Box<Stream>),
+}
+
+impl AnswerBody {
+    /// All of it.
+    pub fn whole(bytes: Bytes) -> AnswerBody {
+        AnswerBody::Whole(Full::new(bytes))
+    }
+
+    /// Ends the request when the answer has been passed on: at once if it is there.
+    pub fn ends(&mut self, taken: Taken) {
+        match self {
+            AnswerBody::Whole(_) => taken.end(Ending::Completed),
+            AnswerBody::Stream(stream) => stream.taken = Some(taken),
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match &mut *self {
+            AnswerBody::Whole(whole) => {
+                let frame = ready!(Pin::new(whole).poll_frame(context));
+                Poll::Ready(frame.map(|Ok(frame)| Ok(frame)))
+            }
+            AnswerBody::Stream(stream) => {
+                let piece = ready!(stream.poll_piece(context));
+                match &piece {
+                    Some(Err(_)) => stream.end(Ending::Failed),
+                    Some(Ok(_)) if !stream.rest.is_end_stream() => {}
+                    Some(Ok(_)) | None => stream.end(Ending::Completed),
+                }
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Whole(whole) => whole.is_end_stream(),
+            AnswerBody::Stream(stream) => stream.first.is_none() && stream.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(whole) => whole.size_hint(),
+            AnswerBody::Stream(stream) => {
+                let first = stream.first.as_ref().map_or(0, Bytes::len) as u64;
+                stream
+                    .rest
+                    .size_hint()
+                    .exact()
+                    .map_or_else(SizeHint::new, |rest| SizeHint::with_exact(first + rest))
+            }
+        }
+    }
+}
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -13,6 +13,8 @@
 /// operators, and some to spare.
 const SPARE_DESCRIPTORS: usize = 20 + CALLERS_MOST;
 
+/// The part of the memory that gathered bodies may take; two processes may share it for a while.
+const BODIES_PART: usize = 4;
 /// Connections that a process may hold however little it has been left.
 const CONNECTIONS_LEAST: usize = 10;
 
@@ -29,7 +31,9 @@
     pub seed: u64,
     /// Most file descriptors that the program's processes may hold together.
     pub sockets: usize,
-    /// How many processes share them.
+    /// Bytes that gathered bodies may take together.
+    pub bodies: usize,
+    /// How many processes share the descriptors.
     pub processes: usize,
     /// The hosts as this proxy last had them; maybe old.
     pub known: Option<List>,
@@ -63,11 +67,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, memory_mb: 64 }
     }
 }
 
@@ -114,6 +119,7 @@
             admin: file.admin,
             seed,
             sockets: file.limits.sockets,
+            bodies: (file.limits.memory_mb << 20) / BODIES_PART,
             processes: 1,
             known: file.known,
             settings,
--- a/proxy/src/counters.rs
+++ b/proxy/src/counters.rs
@@ -110,10 +110,13 @@
         self.0.borrow_mut()
     }
 
-    /// A request has been taken.
-    pub fn take(&self, class: ClassId) -> Taken {
-        self.count().pending += 1;
-        Taken { counters: self.clone(), class }
+    /// A request has been taken, or (without its last byte) begun to come.
+    pub fn take(&self, class: ClassId, whole: bool) -> Taken {
+        let mut taken = Taken { counters: self.clone(), class, whole: false };
+        if whole {
+            taken.set_whole();
+        }
+        taken
     }
 }
 
@@ -122,9 +125,18 @@
 pub struct Taken {
     counters: Counters,
     class: ClassId,
+    /// Its last byte has come: it is pending.
+    whole: bool,
 }
 
 impl Taken {
+    /// The request's last byte has come.
+    pub fn set_whole(&mut self) {
+        if !std::mem::replace(&mut self.whole, true) {
+            self.counters.count().pending += 1;
+        }
+    }
+
     /// The request ended so.
     pub fn end(self, ending: Ending) {
         self.counters.count().end(self.class, ending);
@@ -133,7 +145,7 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.counters.count().pending -= 1;
+        self.counters.count().pending -= u64::from(self.whole);
     }
 }
 
@@ -145,7 +157,8 @@
     fn a_request_is_pending_until_it_ends_or_its_client_goes() {
         let counters = Counters::new(2);
         let names = ["a".to_owned(), "b".to_owned()];
-        let taken: Vec<Taken> = [0, 1, 1, 1].map(|class| counters.take(ClassId(class))).into();
+        let taken: Vec<Taken> = [0, 1, 1, 1].map(|class| counters.take(ClassId(class), true)).into();
+        let _begun = counters.take(ClassId(1), false);
         assert_eq!(counters.get().to_json(&names, 0, 0)["pending"], 4);
         for (taken, ending) in taken.into_iter().zip([Ending::Completed, Ending::Rejected, Ending::Failed]) {
             taken.end(ending);
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -1,14 +1,13 @@
 //! Drives the decision module: turns what happens on the sockets into its events, in one order and on one
 //! clock, and carries out its actions. It decides nothing itself.
 
+use crate::body::{AnswerBody, Memory, Outgoing, Payload};
 use crate::config::Config;
 use crate::counters::{Counters, Ending, Taken};
 use crate::discovery::{self, Health, List};
 use crate::idle::Idle;
 use crate::socket::Meter;
-use crate::upstream::Outgoing;
-use crate::upstream::{self, Connection, End};
-use hyper::body::Bytes;
+use crate::upstream::{self, Connection, End, Terms};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ochrepond::{
@@ -22,7 +21,7 @@
 use std::time::{Duration, SystemTime};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_PART: f64 = 0.9;
@@ -62,17 +61,21 @@
     /// Its headers, without those of the client's connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub payload: Payload,
+    /// How long its client waits for the answer, from its last byte on.
+    pub budget: Duration,
 }
 
 impl Forward {
     /// The request for one attempt, which is given up at `until`.
     fn request(&self, until: Instant, meter: &Meter) -> Request<Outgoing> {
-        let mut request = Request::new(Outgoing::new(self.body.clone(), meter));
+        let mut request = Request::new(Outgoing::new(&self.payload, meter));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let whole = self.payload.upload().is_none_or(|upload| upload.end().is_some());
+        let left = if whole { until.saturating_duration_since(Instant::now()) } else { self.budget };
+        let left = left.as_millis() as u64;
         request.headers_mut().insert("x-budget-ms", HeaderValue::from(left.max(1)));
         request
     }
@@ -97,7 +100,7 @@
 #[derive(Debug)]
 pub enum Reply {
     /// A host's answer.
-    Served(Response<Bytes>),
+    Served(Response<AnswerBody>),
     /// Turned away; the client may come again after this time.
     Refused(Duration),
     /// Failed; it may have run.
@@ -116,6 +119,20 @@
 }
 
 impl Call {
+    /// Whether the client's time has begun: all of its request has come.
+    fn is_whole(&self) -> bool {
+        self.forward.payload.upload().is_none_or(|upload| upload.end().is_some())
+    }
+
+    /// How long an attempt has taken so far; not while its request is still coming.
+    fn took(&self, sent: Instant) -> Micros {
+        if self.is_whole() {
+            sent.elapsed().as_micros() as Micros
+        } else {
+            0
+        }
+    }
+
     /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
     /// such an attempt surely never ran.
     fn withdraw(&mut self, id: CallId, events: &mut VecDeque<Event>, unwanted: impl Fn(&Attempt) -> bool) {
@@ -184,6 +201,7 @@
     /// Ids of the calls that are open: no second one may have one of them.
     open: HashSet<HeaderValue>,
     counters: Counters,
+    memory: Memory,
     /// The listener takes connections.
     accepting: bool,
     /// When the process ends, if that is known.
@@ -206,19 +224,28 @@
 
 impl Waiting {
     /// The call's final answer.
-    pub async fn reply(mut self) -> Reply {
+    pub async fn reply(&mut self) -> Reply {
         // The sender is only ever dropped with the call, after an answer or with the process.
-        let reply = (&mut self.reply).await.unwrap_or(Reply::Failed);
-        let ending = match reply {
-            Reply::Served(_) => Ending::Completed,
-            Reply::Refused(_) => Ending::Rejected,
-            Reply::Failed => Ending::Failed,
-        };
-        self.taken.take().into_iter().for_each(|taken| taken.end(ending));
+        let mut reply = (&mut self.reply).await.unwrap_or(Reply::Failed);
+        if let Some(taken) = self.taken.take() {
+            match &mut reply {
+                Reply::Served(answer) => answer.body_mut().ends(taken),
+                Reply::Refused(_) => taken.end(Ending::Rejected),
+                Reply::Failed => taken.end(Ending::Failed),
+            }
+        }
         reply
     }
 }
 
+impl Waiting {
+    /// The request has come whole: its client waits for so long from now.
+    pub fn uploaded(&mut self, left: Duration) {
+        self.taken.iter_mut().for_each(Taken::set_whole);
+        self.driver.uploaded(self.call, left);
+    }
+}
+
 impl Drop for Waiting {
     fn drop(&mut self) {
         self.driver.gone(self.call);
@@ -248,6 +275,7 @@
             woken: Rc::default(),
             open: HashSet::new(),
             counters: Counters::new(config.classes.len()),
+            memory: Memory::new(config.bodies),
             accepting: false,
             end: None,
             news: Rc::default(),
@@ -280,6 +308,11 @@
         self.0.borrow().listed
     }
 
+    /// Room for bodies.
+    pub fn memory(&self) -> Memory {
+        self.0.borrow().memory.clone()
+    }
+
     /// The configuration.
     pub fn config(&self) -> Rc<Config> {
         self.0.borrow().config.clone()
@@ -317,19 +350,31 @@
         if !driver.open.insert(id.clone()) {
             return None;
         }
-        let taken = driver.counters.take(class);
+        let once = forward.payload.upload().is_some();
+        let taken = driver.counters.take(class, !once);
         driver.next_call += 1;
         let call = CallId(driver.next_call);
         let (sender, reply) = oneshot::channel();
-        let deadline = driver.end.map_or(deadline, |end| deadline.min(end));
+        let deadline = driver.latest(deadline);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let (forward, attempts) = (Rc::new(forward), Vec::new());
         driver.calls.insert(call, Call { id, forward, deadline, reply: Some(sender), attempts });
         drop(driver);
-        self.run([Event::Request { call, class, tenant, time_left, resent }]);
+        self.run([Event::Request { call, class, tenant, time_left, resent, once }]);
         Some(Waiting { driver: self.clone(), call, reply, taken: Some(taken) })
     }
 
+    fn uploaded(&self, id: CallId, left: Duration) {
+        let mut driver = self.0.borrow_mut();
+        let deadline = driver.latest(Instant::now() + left);
+        let Some(call) = driver.calls.get_mut(&id) else { return };
+        call.deadline = deadline;
+        call.attempts.iter_mut().flatten().for_each(|attempt| attempt.sent = Instant::now());
+        let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        drop(driver);
+        self.run([Event::Uploaded { call: id, time_left }]);
+    }
+
     fn gone(&self, id: CallId) {
         let mut driver = self.0.borrow_mut();
         if driver.calls.get_mut(&id).and_then(|call| call.reply.take()).is_some() {
@@ -382,44 +427,90 @@
         self.run([]);
     }
 
-    /// One attempt, from its connection to its outcome. It is over at `until` whatever happens.
+    /// One attempt, from its connection to its outcome. It is over at its deadline whatever happens, unless its answer
+    /// has begun to be passed on.
     async fn attempt(
         &self,
-        address: SocketAddr,
+        to: (ServerId, SocketAddr),
         kept: Option<(Duration, Connection)>,
         forward: &Forward,
         until: Instant,
         meter: &Meter,
     ) -> End {
-        let exchange = async {
-            if let Some((idle, connection)) = kept {
-                let end = upstream::exchange(connection, forward.request(until, meter), meter).await;
-                let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
-                self.counters().count().broken_reuse += u64::from(broken);
-                self.0.borrow_mut().idle.used(idle, broken);
-                if let Some(end) = end {
-                    return end;
-                }
+        let upload = forward.payload.upload();
+        let expired = async {
+            match upload.map(|upload| upload.ended()) {
+                None => sleep_until(until).await,
+                Some(ended) => match ended.await {
+                    Ok(whole) => {
+                        let deadline = self.0.borrow().latest(whole + forward.budget);
+                        sleep_until(deadline).await;
+                    }
+                    Err(_) => std::future::pending().await,
+                },
             }
-            // Nothing has been written yet, so this is no second sending.
-            let Some(slot) = self.0.borrow_mut().slot() else {
-                return End::without_answer(Outcome::NotSent);
-            };
-            let limit = self.config().connect_timeout;
-            let opened = Connection::open(address, limit, slot).await;
-            self.counters().count().opened += u64::from(opened.is_ok());
-            self.counters().count().open_failed += u64::from(opened.is_err());
-            let end = match opened {
-                Ok(connection) => upstream::exchange(connection, forward.request(until, meter), meter).await,
-                Err(_) => None,
-            };
-            end.unwrap_or_else(|| End::without_answer(Outcome::NoConnection))
         };
-        let late = |_| match meter.written() {
-            0 => End::without_answer(Outcome::NoConnection),
-            _ => End::without_answer(Outcome::TimedOut),
+        let end = tokio::select! {
+            end = self.exchange(to, kept, forward, until, meter) => end,
+            () = expired => match meter.is_whole() {
+                true => End::without_answer(Outcome::TimedOut),
+                false if upload.is_some_and(|upload| upload.is_spent()) => End::without_answer(Outcome::CutShort),
+                false => End::without_answer(Outcome::NoConnection),
+            },
         };
-        timeout_at(until, exchange).await.unwrap_or_else(late)
+        // What the client did is no sign of the host's.
+        match upload.and_then(|upload| upload.end()) {
+            Some(Err(_)) => End::without_answer(Outcome::CalledOff),
+            _ => end,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        to: (ServerId, SocketAddr),
+        kept: Option<(Duration, Connection)>,
+        forward: &Forward,
+        until: Instant,
+        meter: &Meter,
+    ) -> End {
+        let memory = self.0.borrow().memory.clone();
+        let terms = || {
+            let handle = self.clone();
+            let back = Box::new(move |connection| handle.give_back(to, connection));
+            Terms { payload: &forward.payload, meter, memory: &memory, back }
+        };
+        if let Some((idle, connection)) = kept {
+            let end = upstream::exchange(connection, forward.request(until, meter), terms()).await;
+            let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
+            self.counters().count().broken_reuse += u64::from(broken);
+            self.0.borrow_mut().idle.used(idle, broken);
+            if let Some(end) = end {
+                return end;
+            }
+        }
+        // It has not been written whole yet, so this is no second sending.
+        let Some(slot) = self.0.borrow_mut().slot() else {
+            return End::without_answer(Outcome::NotSent);
+        };
+        let limit = self.config().connect_timeout;
+        let opened = Connection::open(to.1, limit, slot).await;
+        self.counters().count().opened += u64::from(opened.is_ok());
+        self.counters().count().open_failed += u64::from(opened.is_err());
+        let end = match opened {
+            Ok(connection) => upstream::exchange(connection, forward.request(until, meter), terms()).await,
+            Err(_) => None,
+        };
+        end.unwrap_or_else(|| End::without_answer(Outcome::NoConnection))
+    }
+
+    /// Keeps the connection of a large answer that has been passed on.
+    fn give_back(&self, to: (ServerId, SocketAddr), connection: Connection) {
+        let handle = self.clone();
+        spawn_local(async move {
+            if let Some(connection) = connection.settled().await {
+                handle.0.borrow_mut().keep_idle(to, connection);
+            }
+        });
     }
 
     /// Counts a request that was turned away with this status, unseen by the module.
@@ -484,14 +575,13 @@
             // A client that has just gone has no use for it.
             let _ = reply.0.send(Reply::Served(reply.1));
         }
-        let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.reply.is_none());
+        let (elapsed, closed) = (call.took(out.sent), call.reply.is_none());
         let (outcome, load) = (end.outcome, end.load);
         driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         driver.tidy(id);
         // Back before the outcome is told: else the call that it lets go would open another.
-        let host = driver.hosts.get_mut(&out.server).filter(|host| host.takes(out.address));
-        if let (Some(host), Some(connection)) = (host, end.connection) {
-            host.idle.push((Instant::now(), connection));
+        if let Some(connection) = end.connection {
+            driver.keep_idle((out.server, out.address), connection);
         }
         drop(driver);
         self.run([]);
@@ -564,7 +654,7 @@
         let attempt = call.attempts.len() as u32;
         let until = call.deadline;
         let host = self.hosts.get_mut(&server).filter(|host| host.health == Health::Ready);
-        let Some(host) = host.filter(|_| call.reply.is_some() && now < until) else {
+        let Some(host) = host.filter(|_| call.reply.is_some() && (now < until || !call.is_whole())) else {
             call.attempts.push(None);
             let closed = call.reply.is_none();
             return self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
@@ -576,7 +666,7 @@
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
             upstream::spawn(async move {
-                let end = handle.attempt(address, kept, &forward, until, &meter).await;
+                let end = handle.attempt((server, address), kept, &forward, until, &meter).await;
                 handle.finish(id, attempt, end);
             })
         };
@@ -615,6 +705,11 @@
         }
     }
 
+    /// A deadline, or the end of the process if that comes first.
+    fn latest(&self, deadline: Instant) -> Instant {
+        self.end.map_or(deadline, |end| deadline.min(end))
+    }
+
     fn subscribe(&mut self, handle: &Handle) {
         let (handle, discovery, since) = (handle.clone(), self.config.discovery, self.seq);
         let pushed = !self.config.settings.ask;
@@ -667,6 +762,13 @@
         }
     }
 
+    /// Keeps a connection for the next request to its host, if there may be one.
+    fn keep_idle(&mut self, (server, address): (ServerId, SocketAddr), connection: Connection) {
+        if let Some(host) = self.hosts.get_mut(&server).filter(|host| host.takes(address)) {
+            host.idle.push((Instant::now(), connection));
+        }
+    }
+
     /// A place for one more connection to a host; the oldest idle one makes room when there is none.
     fn slot(&mut self) -> Option<Rc<()>> {
         if Rc::strong_count(&self.slots) > self.config.connections_to_hosts() {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -4,10 +4,12 @@
 #![warn(missing_docs)]
 
 pub mod admin;
+mod body;
 pub mod config;
 pub mod counters;
 pub mod discovery;
 pub mod driver;
+mod framing;
 pub mod handover;
 mod idle;
 mod requests;
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,100 +1,88 @@
 //! What a client's request says and whether it can be used, and the answers that clients get.
 
+use crate::body::{AnswerBody, Fault, Payload, Upload, BODY_MOST};
 use crate::driver::{Ask, Forward, Handle, Reply};
 use crate::socket::Socket;
-use crate::upstream::BODY_MOST;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ochrepond::{ClassId, Repeat, TenantId};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::Instant;
 
 /// The time that is kept for the answer's way back, and the part of a client's time that it may be at the most: of a
 /// hurried client's it would leave too little for the answer itself.
 const WAY_BACK: Duration = Duration::from_millis(10);
 const WAY_BACK_PART: u32 = 16;
-/// What is still read of a body that is turned away, and for how long: closing on a client that is sending would
-/// reset the connection, and the answer might be lost with it.
-const DRAIN_MOST: usize = 1 << 20;
-const DRAIN_TIME: Duration = Duration::from_millis(500);
-
 /// An answer to a client.
-pub type Answer = Response<Full<Bytes>>;
+pub type Answer = Response<AnswerBody>;
 
 /// How a request comes.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     /// Where it is read. Its client's time runs from its last byte, also while it waits behind another.
     pub socket: Socket,
-    /// By when its body must be whole.
+    /// By when its body must have come, but for the time that a long one takes at an honest pace.
     pub whole_by: Instant,
+    /// Its head says in two ways where it ends.
+    pub doubtful: bool,
 }
 
 /// Gives a request its one answer.
 pub async fn answer(driver: Handle, request: Request<Incoming>, arrival: Arrival) -> Answer {
-    match request.uri().path() {
+    let Arrival { socket, whole_by, doubtful } = arrival;
+    let (head, body) = request.into_parts();
+    let upload = Rc::new(Upload::new(body, socket, whole_by));
+    let answer = match head.uri.path() {
+        _ if doubtful => turned_away(&driver, StatusCode::BAD_REQUEST),
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
-        "/api" => match take_in(&driver, request, arrival).await {
-            Ok((ask, forward)) => match driver.request(ask, forward) {
-                Some(waiting) => match waiting.reply().await {
-                    Reply::Served(answer) => served(answer),
-                    Reply::Refused(after) => refused(after),
-                    Reply::Failed => plain(StatusCode::BAD_GATEWAY),
-                },
-                None => turned_away(&driver, StatusCode::CONFLICT),
-            },
+        "/api" => match pass_on(&driver, head, &upload).await {
+            Ok(Reply::Served(answer)) => return served(answer),
+            Ok(Reply::Refused(after)) => refused(after),
+            Ok(Reply::Failed) => plain(StatusCode::BAD_GATEWAY),
             Err(status) => turned_away(&driver, status),
         },
-        _ => {
-            drain(request.into_body());
-            unusable(StatusCode::NOT_FOUND)
-        }
+        _ => unusable(StatusCode::NOT_FOUND),
+    };
+    if upload.end().is_none() {
+        spawn_local(async move { upload.drain().await });
     }
+    answer
 }
 
-/// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
-async fn take_in(
-    driver: &Handle,
-    request: Request<Incoming>,
-    arrival: Arrival,
-) -> Result<(Ask, Forward), StatusCode> {
-    let (head, body) = request.into_parts();
-    let large = body.size_hint().lower() > BODY_MOST as u64;
-    let (mut ask, budget) = match ask(driver, &head.method, &head.headers, body.is_end_stream()) {
-        Ok(_) if large => {
-            drain(body);
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        Ok(usable) => usable,
-        Err(status) => {
-            drain(body);
-            return Err(status);
-        }
-    };
-    let body = match timeout_at(arrival.whole_by, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
-        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+/// Passes a request on and waits for its end. What cannot be used is turned away with a status; the module never sees
+/// it, or sees a client that has gone.
+async fn pass_on(driver: &Handle, head: Parts, upload: &Rc<Upload>) -> Result<Reply, StatusCode> {
+    let (ask, budget) = ask(driver, &head.method, &head.headers, upload.length() == Some(0))?;
+    if upload.length().is_some_and(|length| length > BODY_MOST) {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let gathered = upload.gather(&driver.memory()).await.map_err(Fault::status)?;
+    let budget = budget - WAY_BACK.min(budget / WAY_BACK_PART);
+    let deadline = match upload.end() {
+        Some(Ok(whole)) => whole + budget,
+        _ => Instant::now() + budget,
     };
-    ask.deadline = arrival.socket.read_at() + (budget - WAY_BACK.min(budget / WAY_BACK_PART));
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-    let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), body };
-    Ok((ask, forward))
-}
-
-/// Reads on and throws away, within bounds.
-fn drain(body: Incoming) {
-    if !body.is_end_stream() {
-        spawn_local(timeout(DRAIN_TIME, async {
-            let mut body = Limited::new(body, DRAIN_MOST);
-            while let Some(Ok(_)) = body.frame().await {}
-        }));
+    let large = gathered.is_none();
+    let payload = gathered.map_or_else(|| Payload::Upload(upload.clone()), Payload::Whole);
+    let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), payload, budget };
+    let mut waiting = driver.request(Ask { deadline, ..ask }, forward).ok_or(StatusCode::CONFLICT)?;
+    if large {
+        tokio::select! {
+            biased;
+            ended = upload.ended() => match ended {
+                Ok(whole) => waiting.uploaded((whole + budget).saturating_duration_since(Instant::now())),
+                Err(fault) => return Err(fault.status()),
+            },
+            reply = waiting.reply() => return Ok(reply),
+        }
     }
+    Ok(waiting.reply().await)
 }
 
 /// What a head says, and the client's time. A status if it says too little, or two things.
@@ -104,11 +92,6 @@
     headers: &HeaderMap,
     empty: bool,
 ) -> Result<(Ask, Duration), StatusCode> {
-    // Beside a length it may hide a second request in the body, and the length is no longer there to be seen:
-    // hyper drops it. No client of ours needs it.
-    if headers.contains_key(header::TRANSFER_ENCODING) {
-        return Err(StatusCode::LENGTH_REQUIRED);
-    }
     usable(driver, method, headers, empty).ok_or(StatusCode::BAD_REQUEST)
 }
 
@@ -160,10 +143,10 @@
     headers
 }
 
-fn served(answer: Response<Bytes>) -> Answer {
+fn served(answer: Response<AnswerBody>) -> Answer {
     let (mut head, body) = answer.into_parts();
     head.headers = end_to_end(head.headers);
-    Response::from_parts(head, Full::new(body))
+    Response::from_parts(head, body)
 }
 
 fn refused(after: Duration) -> Answer {
@@ -189,7 +172,7 @@
 }
 
 fn plain(status: StatusCode) -> Answer {
-    let mut answer = Response::new(Full::default());
+    let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
     *answer.status_mut() = status;
     answer
 }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -29,7 +29,9 @@
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
-const WHOLE_TIME: Duration = Duration::from_millis(2_500);
+const WHOLE_TIME: Duration = Duration::from_millis(2_750);
+/// How long a client may take nothing of an answer.
+const BLOCKED_MOST: Duration = Duration::from_secs(10);
 /// How long a connection is kept on which no request is open. Clients may keep theirs for good and never use
 /// them again; those that do use them come back far sooner.
 const IDLE_MOST: Duration = Duration::from_secs(30);
@@ -100,7 +102,7 @@
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
             // What has come and was not read may be a whole request.
             Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
-            Phase::Open => false,
+            Phase::Open => self.socket.blocked_since().is_some_and(|since| now >= since + BLOCKED_MOST),
         }
     }
 
@@ -236,15 +238,17 @@
         if let Err(error) = stream.set_nodelay(true) {
             log(&format!("nodelay: {error}"));
         }
-        let socket = Socket::new(stream);
+        let socket = Socket::of_client(stream);
         let phase = Rc::new(Cell::new(Phase::New(Instant::now())));
         let (driver, state, read) = (self.driver.clone(), phase.clone(), socket.clone());
-        let (crowded, asked) = (self.crowded.clone(), Rc::new(Cell::new(false)));
+        let (crowded, asked) = (self.crowded.clone(), Rc::new(Cell::new(0)));
         let stopping = self.stopping.clone();
         let service = service_fn(move |request| {
-            let arrival = Arrival { whole_by: state.get().whole_by(&read), socket: read.clone() };
+            let number = asked.replace(asked.get() + 1);
+            let doubtful = read.is_doubtful(number);
+            let arrival = Arrival { whole_by: state.get().whole_by(&read), socket: read.clone(), doubtful };
             let (driver, state, reads) = (driver.clone(), state.clone(), read.reads());
-            let (crowded, first) = (crowded.clone(), !asked.replace(true));
+            let (crowded, first) = (crowded.clone(), number == 0);
             let stopping = stopping.clone();
             async move {
                 state.set(Phase::Open);
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -2,18 +2,23 @@
 //! task does, can look at what has come and was not read, and knows what was written and read.
 
 use crate::counters::Counters;
+use crate::framing::Framing;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Most bytes of a client that are read at once.
+const PIECE_MOST: usize = 16 << 10;
+
 #[derive(Debug, Default)]
 struct Written {
     bytes: Cell<usize>,
@@ -46,6 +51,11 @@
         self.0.bytes.set(self.0.bytes.get() + bytes);
     }
 
+    /// Whether all of the attempt is written. Without its last byte no host begins with it.
+    pub fn is_whole(&self) -> bool {
+        self.0.whole.get()
+    }
+
     /// Nothing of what was handed over is left to be written.
     fn flushed(&self) {
         if self.0.ended.get() && self.0.bytes.get() > 0 && !self.0.whole.replace(true) {
@@ -62,6 +72,10 @@
     meter: RefCell<Meter>,
     reads: Cell<u64>,
     read_at: Cell<Instant>,
+    /// Since when the other side takes nothing of what there is to write.
+    blocked: Cell<Option<Instant>>,
+    /// The messages that come, where it matters that they can be told apart.
+    framing: Option<RefCell<Framing>>,
 }
 
 /// The stream; clones are the same stream.
@@ -71,11 +85,22 @@
 impl Socket {
     /// Wraps a stream.
     pub fn new(stream: TcpStream) -> Socket {
+        Socket::wrap(stream, None)
+    }
+
+    /// Wraps the stream of a client, whose messages are followed.
+    pub fn of_client(stream: TcpStream) -> Socket {
+        Socket::wrap(stream, Some(RefCell::default()))
+    }
+
+    fn wrap(stream: TcpStream, framing: Option<RefCell<Framing>>) -> Socket {
         Socket(Rc::new(Inner {
             io: RefCell::new(Some(TokioIo::new(stream))),
             meter: RefCell::default(),
             reads: Cell::new(0),
             read_at: Cell::new(Instant::now()),
+            blocked: Cell::new(None),
+            framing,
         }))
     }
 
@@ -99,6 +124,25 @@
         self.0.read_at.get()
     }
 
+    /// Since when what is to be written could not be, if it can't now.
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.0.blocked.get()
+    }
+
+    /// Whether the request of this number, from 0, can't be relied on to end where it seems to.
+    pub fn is_doubtful(&self, number: u64) -> bool {
+        self.0.framing.as_ref().is_some_and(|framing| framing.borrow().is_doubtful(number))
+    }
+
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = written {
+            self.0.meter.borrow().wrote(count);
+        }
+        let since = self.0.blocked.get().unwrap_or_else(Instant::now);
+        self.0.blocked.set(written.is_pending().then_some(since));
+        written
+    }
+
     /// Whether it is open and nothing waits in it to be read, not even its end. This asks the system: what has
     /// come since the stream's task was last polled shows nowhere else.
     pub fn is_quiet(&self) -> bool {
@@ -118,7 +162,10 @@
         let mut io = self.0.io.borrow_mut();
         // Closed by its owner, it is at its end.
         let Some(io) = io.as_mut() else { return Poll::Ready(Ok(())) };
-        let read = Pin::new(io).poll_read(context, buffer);
+        let read = match &self.0.framing {
+            None => Pin::new(io).poll_read(context, buffer),
+            Some(framing) => poll_followed(io.inner_mut(), context, buffer, &mut framing.borrow_mut()),
+        };
         if read.is_ready() {
             self.0.reads.set(self.0.reads.get() + 1);
             self.0.read_at.set(Instant::now());
@@ -127,15 +174,42 @@
     }
 }
 
+/// Reads, and shows what came to those who follow it.
+fn poll_followed(
+    stream: &mut TcpStream,
+    context: &mut Context<'_>,
+    mut buffer: ReadBufCursor<'_>,
+    framing: &mut Framing,
+) -> Poll<io::Result<()>> {
+    let mut bytes = [0; PIECE_MOST];
+    let most = buffer.remaining().min(PIECE_MOST);
+    let mut piece = ReadBuf::new(&mut bytes[..most]);
+    ready!(Pin::new(stream).poll_read(context, &mut piece))?;
+    framing.read(piece.filled());
+    buffer.put_slice(piece.filled());
+    Poll::Ready(Ok(()))
+}
+
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut io = self.0.io.borrow_mut();
         let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
-        let written = Pin::new(io).poll_write(context, bytes);
-        if let Poll::Ready(Ok(count)) = written {
-            self.0.meter.borrow().wrote(count);
-        }
-        written
+        self.wrote(Pin::new(io).poll_write(context, bytes))
+    }
+
+    // Without this, hyper would copy each body into a buffer that the connection then keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let mut io = self.0.io.borrow_mut();
+        let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
+        self.wrote(Pin::new(io).poll_write_vectored(context, slices))
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -1,27 +1,23 @@
 //! Connections to hosts, and one exchange on one of them.
 
+use crate::body::{AnswerBody, Gathered, Memory, Outgoing, Payload, Stream, BODY_MOST, SMALL_MOST};
 use crate::socket::{Meter, Socket};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Frame, SizeHint};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use ochrepond::{Load, Outcome};
-use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{yield_now, AbortHandle};
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
-/// Most bytes of a body, either way.
-pub const BODY_MOST: usize = 64 << 10;
 /// Most bytes of a head that are kept. Every connection may hold so much: with all of them at it, it must fit
 /// into the least memory.
 pub const HEAD_MOST: usize = 16 << 10;
@@ -30,6 +26,8 @@
 /// Time for the rest of an answer that is not passed on; past it the connection is given up instead.
 const REST: Duration = Duration::from_millis(20);
 
+/// How long an answer that does not tell its length is gathered once it has begun.
+const HOLD: Duration = Duration::from_millis(20);
 /// A kept connection that breaks within this time of being written to was closed before the request came.
 const CROSSING: Duration = Duration::from_millis(20);
 
@@ -85,6 +83,18 @@
         Ok(Connection { sender, socket, reads: 0, _task: spawn(connection), _slot: slot })
     }
 
+    /// The connection, if it can be used again after an answer that was read whole. Ready again before the outcome is
+    /// told: else the next request would find no idle connection.
+    pub async fn settled(mut self) -> Option<Connection> {
+        if !matches!(timeout(REST, self.sender.ready()).await, Ok(Ok(()))) {
+            return None;
+        }
+        self.reads = self.socket.reads();
+        // Its task finds what it has read beyond the answer only when it is polled once more.
+        yield_now().await;
+        self.is_ready().then_some(self)
+    }
+
     /// Whether a request can be written to it now. Anything that has come since its last answer, its end or a
     /// second answer, makes it useless: it would be taken for the next request's.
     pub fn is_ready(&self) -> bool {
@@ -92,50 +102,6 @@
     }
 }
 
-/// The body of one attempt. It tells the attempt's meter when its end has been handed over.
-#[derive(Debug)]
-pub struct Outgoing {
-    body: Full<Bytes>,
-    meter: Meter,
-}
-
-impl Outgoing {
-    /// A body that is there whole.
-    pub fn new(body: Bytes, meter: &Meter) -> Outgoing {
-        let outgoing = Outgoing { body: Full::new(body), meter: meter.clone() };
-        outgoing.note_end();
-        outgoing
-    }
-
-    fn note_end(&self) {
-        if self.body.is_end_stream() {
-            self.meter.set_ended();
-        }
-    }
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(context);
-        self.note_end();
-        frame
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct End {
@@ -144,7 +110,7 @@
     /// The host's report on its load.
     pub load: Load,
     /// The answer to pass on, where it served.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<AnswerBody>>,
     /// The connection, if it can be used again.
     pub connection: Option<Connection>,
 }
@@ -156,14 +122,34 @@
     }
 }
 
-/// Sends a request on a connection and reads the whole answer. `None`: the connection was found closed before
-/// any of the request was written.
-pub async fn exchange(mut connection: Connection, request: Request<Outgoing>, meter: &Meter) -> Option<End> {
+/// What is needed for an exchange besides its connection.
+pub struct Terms<'a> {
+    /// What is sent.
+    pub payload: &'a Payload,
+    /// Counts what is written.
+    pub meter: &'a Meter,
+    /// Room for answers.
+    pub memory: &'a Memory,
+    /// Gets the connection when a large answer has been read to its end.
+    pub back: Box<dyn FnOnce(Connection)>,
+}
+
+/// Sends a request on a connection and reads the answer, if it is small; of a large one the beginning. `None`: the
+/// connection was found closed before the request was written, and all of it can be written again.
+pub async fn exchange(
+    mut connection: Connection,
+    request: Request<Outgoing>,
+    terms: Terms<'_>,
+) -> Option<End> {
+    let Terms { payload, meter, memory, back } = terms;
     connection.socket.count(meter);
     let (kept, started) = (connection.reads > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
-        Err(_) if meter.written() == 0 => return None,
+        Err(_) if !meter.is_whole() && payload.upload().is_none_or(|upload| !upload.is_spent()) => {
+            return None
+        }
+        Err(_) if !meter.is_whole() => return Some(End::without_answer(Outcome::CutShort)),
         Err(error) => {
             // The one read since is that of its end: nothing of an answer has come.
             let unanswered = kept && connection.socket.reads() <= connection.reads + 1;
@@ -174,29 +160,83 @@
     };
     let (head, body) = response.into_parts();
     let load = report(&head.headers);
-    let body = Limited::new(body, BODY_MOST).collect();
-    let (outcome, answer, whole) = if head.status != StatusCode::OK {
+    if head.status != StatusCode::OK {
         // The outcome is known: a rest that breaks or stalls must not change it.
-        let whole = matches!(timeout(REST, body).await, Ok(Ok(_)));
-        (refusal(head.status, &head.headers), None, whole)
-    } else if !is_framed(&head.headers) {
-        (Outcome::Unknown, None, false)
-    } else {
-        match body.await {
-            Ok(body) => (Outcome::Served, Some(Response::from_parts(head, body.to_bytes())), true),
-            // It has run, and what it said is lost.
-            Err(error) => (broken(&*error), None, false),
+        let rest = Limited::new(body, SMALL_MOST).collect();
+        let whole = matches!(timeout(REST, rest).await, Ok(Ok(_)));
+        let connection = if whole { connection.settled().await } else { None };
+        return Some(End { outcome: refusal(head.status, &head.headers), load, answer: None, connection });
+    }
+    let body = match is_framed(&head.headers) {
+        true => Answer::read(body, memory).await,
+        false => Err("it may be cut short".into()),
+    };
+    let (outcome, answer, connection) = match body {
+        Ok(Answer::Whole(bytes)) => {
+            (Outcome::Served, Some(AnswerBody::whole(bytes)), connection.settled().await)
+        }
+        Ok(Answer::Long { first, rest }) => {
+            let stream = Stream::new(first, rest, Box::new(move || back(connection)));
+            (Outcome::Served, Some(AnswerBody::Stream(Box::new(stream))), None)
         }
+        // It has run, and what it said is lost.
+        Err(error) => (broken(&*error), None, None),
     };
-    // Ready again before the outcome is told: else the next request would find no idle connection.
-    let mut again = whole && matches!(timeout(REST, connection.sender.ready()).await, Ok(Ok(())));
-    if again {
-        connection.reads = connection.socket.reads();
-        // Its task finds what it has read beyond the answer only when it is polled once more.
-        yield_now().await;
-        again = connection.is_ready();
+    Some(End { outcome, load, answer: answer.map(|body| Response::from_parts(head, body)), connection })
+}
+
+/// An answer's body as far as it is read before it is passed on.
+enum Answer {
+    Whole(Bytes),
+    Long { first: Bytes, rest: Incoming },
+}
+
+impl Answer {
+    /// Gathers a small one. Whether one that does not tell its length is small is not waited for any longer than its
+    /// first bytes can be spared.
+    async fn read(mut body: Incoming, memory: &Memory) -> Result<Answer, BoxError> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > BODY_MOST) {
+            return Err(io::Error::from(io::ErrorKind::InvalidData).into());
+        }
+        let Some(mut gathered) = Gathered::new(memory, length) else {
+            let first = match next(&mut body).await {
+                Some(piece) => piece?,
+                None => Bytes::new(),
+            };
+            return Ok(Answer::Long { first, rest: body });
+        };
+        let hold = Instant::now() + HOLD;
+        let mut begun = false;
+        loop {
+            let piece = match length.is_some() || !begun {
+                true => next(&mut body).await,
+                false => match timeout_at(hold, next(&mut body)).await {
+                    Ok(piece) => piece,
+                    Err(_) => break,
+                },
+            };
+            let Some(piece) = piece else { return Ok(Answer::Whole(gathered.into_bytes())) };
+            begun = true;
+            if !gathered.push(&piece?) {
+                break;
+            }
+        }
+        Ok(Answer::Long { first: gathered.into_bytes(), rest: body })
+    }
+}
+
+/// The next piece of a body; what follows the last is not passed on.
+async fn next(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match body.frame().await? {
+            Ok(frame) => match frame.into_data() {
+                Ok(data) => return Some(Ok(data)),
+                Err(_) => continue,
+            },
+            Err(error) => return Some(Err(error)),
+        }
     }
-    Some(End { outcome, load, answer, connection: again.then_some(connection) })
 }
 
 /// Whether a head tells for sure where its body ends. Two lengths or two framings may be read in two ways, and
@@ -212,8 +252,7 @@
     let mut causes = std::iter::successors(Some(error), |error| (*error).source());
     let spoilt = causes.any(|cause| {
         let bad = |kind| matches!(kind, io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData);
-        cause.is::<LengthLimitError>()
-            || cause.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
+        cause.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
             || cause.downcast_ref::<io::Error>().is_some_and(|error| bad(error.kind()))
     });
     if spoilt {
--- a/src/api.rs
+++ b/src/api.rs
@@ -235,6 +235,9 @@
     /// A connection that had been kept broke before anything came back: its server may have closed it earlier.
     /// The attempt may have run.
     Stale,
+    /// The connection broke, or time ran out, with a part of the call written: it never ran. What was written of
+    /// a body that can be had only once is lost.
+    CutShort,
     /// Called off by this balancer.
     CalledOff,
     /// Never sent.
@@ -248,7 +251,7 @@
 impl Outcome {
     /// Whether this proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::CutShort | Outcome::NotSent)
     }
 
     /// Whether this says nothing of the server's health: the proxy, the request or one connection was the cause.
@@ -292,6 +295,16 @@
         time_left: Micros,
         /// The client says that it has tried before.
         resent: bool,
+        /// It is still coming, and what is written of it to a server can't be written to another. Its time and its
+        /// servers' work begin with [`Event::Uploaded`].
+        once: bool,
+    },
+    /// The last byte of a call has come that can be sent once only.
+    Uploaded {
+        /// Which call.
+        call: CallId,
+        /// How long the client waits from here.
+        time_left: Micros,
     },
     /// An attempt is over.
     Outcome {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -146,17 +146,24 @@
         match event {
             Event::Start if self.settings.ask => actions.push(Action::Subscribe),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
-            Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
+            Event::Request { call, class, tenant, time_left, once, .. }
+                if !self.calls.contains_key(&call) =>
+            {
                 self.request(now, call, class, time_left);
+                self.calls.get_mut(&call).into_iter().for_each(|c| (c.once, c.coming) = (once, once));
                 self.admit(now, call, tenant, actions);
             }
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
                 self.report(call, attempt, load);
                 if let Some(tried) = self.outcome(call, attempt, outcome) {
+                    if tried.coming {
+                        self.begin_work(now, &tried);
+                    }
                     self.learn(now, tried, outcome, elapsed, actions);
                     self.proceed(now, call, outcome, closed, actions);
                 }
             }
+            Event::Uploaded { call, time_left } => self.uploaded(now, call, time_left),
             Event::Streaming { call, attempt } => {
                 // The client has its answer: nothing more is owed.
                 self.end(call);
@@ -239,6 +246,32 @@
         self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.asked += 1.0);
     }
 
+    /// A call has come whole: its client's time begins, and the work of the server that it has gone to.
+    fn uploaded(&mut self, now: Micros, id: CallId, left: Micros) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.coming = false;
+        (call.arrived, call.deadline) = (now, now.saturating_add(left));
+        let out = call.attempts.iter_mut().find(|a| a.outcome.is_none());
+        let Some(attempt) = out else { return };
+        (attempt.coming, attempt.sent) = (false, now);
+        let attempt = *attempt;
+        self.begin_work(now, &attempt);
+    }
+
+    /// From here on a server is taken to work on an attempt.
+    fn begin_work(&mut self, now: Micros, attempt: &Attempt) {
+        if let Ok(place) = self.servers.binary_search_by_key(&attempt.server, |s| s.id) {
+            let server = &mut self.servers[place];
+            server.in_flight += u32::from(server.started == attempt.started);
+        }
+        let aim = self.settings.classes.get(attempt.class_id).map_or(0, |c| c.aim);
+        let usual = self.usual(attempt.class_id, aim);
+        if let Some(pool) = &mut self.pool {
+            pool.out += 1;
+            pool.charge(now, usual);
+        }
+    }
+
     /// Lets a new call join the hold, unless it would wait too long there.
     fn admit(&mut self, now: Micros, id: CallId, tenant: Option<TenantId>, actions: &mut Actions) {
         let over_share = tenant.is_some_and(|t| self.over_share(t));
@@ -342,8 +375,8 @@
 
     /// What a server's answer, or its absence, teaches.
     fn learn(&mut self, now: Micros, tried: Attempt, outcome: Outcome, took: Micros, actions: &mut Actions) {
-        let Attempt { server: id, zone, started, class_id, sent, trial, .. } = tried;
-        let elapsed = took.max(now.saturating_sub(sent));
+        let Attempt { server: id, zone, started, class_id, sent, trial, coming, .. } = tried;
+        let elapsed = if coming { 0 } else { took.max(now.saturating_sub(sent)) };
         let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
         let per = self.window() as f64;
         let usual = self.usual(class_id, self.settings.classes.get(class_id).map_or(0, |c| c.aim));
@@ -368,7 +401,7 @@
             }
         }
         // A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
-        let lost = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
+        let lost = matches!(outcome, Outcome::NoConnection | Outcome::CutShort | Outcome::Reset);
         let cut = self.cut_off.entry(zone).or_default();
         if lost && self.pool.is_some() {
             let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
@@ -486,7 +519,8 @@
         let call = &self.calls[&id];
         let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
         let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
-        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
+        let spent = call.once && !matches!(outcome, Outcome::NoConnection | Outcome::NotSent);
+        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts && !spent;
         if in_time && some && more && (self.retries >= 1.0 || outcome == Outcome::NoConnection) {
             self.retries = (self.retries - 1.0).max(0.0);
             self.enqueue(now, id, true);
@@ -614,7 +648,6 @@
         (server.cold_answers, server.cold_until) =
             (self.served.saturating_add(gap), now.saturating_add(span));
         self.sends += 1;
-        server.in_flight += 1;
         // A lost zone is tried by one call: those of the time that a connection takes to fail would be late.
         let first = self.first_backoff();
         let server = &mut self.servers[place];
@@ -624,24 +657,24 @@
         server.budget.trial_out |= trial == Trial::Server;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let &mut Server { id: server, started, zone, cell, .. } = server;
-        let (class_id, sent, outcome) = (call.class_id, now, None);
-        call.attempts.push(Attempt { server, started, zone, cell, class_id, sent, trial, outcome });
-        let copies = call.attempts.len();
+        let (class_id, sent, coming, outcome) = (call.class_id, now, call.coming, None);
+        let attempt = Attempt { server, started, zone, cell, class_id, sent, trial, coming, outcome };
+        call.attempts.push(attempt);
+        let (copies, once) = (call.attempts.len(), call.once);
         let tail = self.paces.get(class_id).map_or(f64::MAX, |p| p.tail);
         let (aim, arrived) = (call.aim_at(), call.arrived);
         let usual = self.usual(class_id, self.calls[&id].class.aim);
-        if let Some(pool) = &mut self.pool {
-            pool.out += 1;
-            pool.charge(now, usual);
-            pool.budget.trial_out |= trial == Trial::Pool;
+        if !coming {
+            self.begin_work(now, &attempt);
         }
+        self.pool.iter_mut().for_each(|p| p.budget.trial_out |= trial == Trial::Pool);
         // It runs for as long as its client waits. Given up earlier, its server would work on all the same,
         // but uncounted: the next call would take a place that is not free.
         actions.push(Action::Send { call: id, server });
         // The latest moment at which a second copy can still be in time, but not before the first is late.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + tail);
         // A shared budget tells nothing of one server: the copy would only add to the work.
-        let copies = copies == 1 && self.settings.limits.second_copies && self.pool.is_none();
+        let copies = copies == 1 && !once && self.settings.limits.second_copies && self.pool.is_none();
         let copy = copies && copy_at + usual <= aim as f64;
         self.set_wake(id, if copy { (copy_at as Micros).max(now + 1) } else { 0 });
     }
@@ -697,7 +730,7 @@
                 // Only a call that never went: a bound one may go to some servers alone.
                 let mut held = self.hold.iter().take(LOOK_PAST);
                 let server = &self.servers[place];
-                let fits = |c: &Call| c.attempts.is_empty() && server.takes(c.class_id, now);
+                let fits = |c: &Call| c.attempts.is_empty() && !c.once && server.takes(c.class_id, now);
                 if let Some(index) = held.position(|id| fits(&self.calls[id])) {
                     let id = self.hold[index];
                     self.take(index);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //! let entries = vec![Entry { server: ServerId(1), state: State::Ready, ..Entry::default() }];
 //! balancer.handle(0, Event::Members { kind: ListKind::Full, entries }, &mut actions);
 //! let call = CallId(1);
-//! let event = Event::Request { call, class: ClassId(0), tenant: None, time_left: 500_000, resent: false };
+//! let event = Event::Request { call, class: ClassId(0), tenant: None, time_left: 500_000, resent: false, once: false };
 //! balancer.handle(1_000, event, &mut actions);
 //! for action in actions.drain(..) {
 //!     match action {
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     pub(crate) class_id: usize,
     pub(crate) sent: Micros,
     pub(crate) trial: Trial,
+    /// It is being written as its call comes: its server has nothing to work on yet.
+    pub(crate) coming: bool,
     /// `None`: it is out.
     pub(crate) outcome: Option<Outcome>,
 }
@@ -45,6 +47,9 @@
     pub(crate) deadline: Micros,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) held: bool,
+    /// What is sent of it can't be sent again; and whether it is still coming.
+    pub(crate) once: bool,
+    pub(crate) coming: bool,
     pub(crate) ended: bool,
     /// When the call is looked at next; 0: not by time.
     pub(crate) wake: Micros,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,8 @@
         self.next += 1;
         let call = CallId(self.next);
         let class = ClassId(class);
-        let event = Event::Request { call, class, tenant: None, time_left: 1_200 * MS, resent: false };
+        let event =
+            Event::Request { call, class, tenant: None, time_left: 1_200 * MS, resent: false, once: false };
         (call, self.event(event))
     }
 
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -207,7 +207,7 @@
             let class = ClassId(if i % 2 == 0 { 0 } else { usize::MAX });
             let call = CallId(1_000 + i as u64);
             let tenant = Some(TenantId(i));
-            let event = Event::Request { call, class, tenant, time_left, resent: true };
+            let event = Event::Request { call, class, tenant, time_left, resent: true, once: false };
             proxy.event(event.clone());
             proxy.event(event);
             for attempt in [0, 0, 7] {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -634,7 +634,8 @@
     }
     for id in 1_000..1_200 {
         let (call, time_left) = (CallId(id), 30 * MS);
-        let event = Event::Request { call, class: ClassId(0), tenant: None, time_left, resent: false };
+        let event =
+            Event::Request { call, class: ClassId(0), tenant: None, time_left, resent: false, once: false };
         let out = !sent(&proxy.event(event)).is_empty();
         proxy.now += time_left;
         if out {
