Keep a request open until the last byte of its answer

Ruled out: the limit on blocked writes (logged, never met) and answers that break off or stand still (logged, none). The answer's body now holds the request open. And a request's own body, read in a second piece, counted as a next request that had begun: what is read is now followed to the message's end.

--- a/proxy/src/body.rs
+++ b/proxy/src/body.rs
@@ -452,7 +452,10 @@
             AnswerBody::Stream(stream) => {
                 let piece = ready!(stream.poll_piece(context));
                 match &piece {
-                    Some(Err(_)) => stream.end(Ending::Failed),
+                    Some(Err(error)) => {
+                        crate::log(&format!("an answer broke off after {} bytes: {error}", stream.read));
+                        stream.end(Ending::Failed);
+                    }
                     Some(Ok(_)) if !stream.rest.is_end_stream() => {}
                     Some(Ok(_)) | None => stream.end(Ending::Completed),
                 }
--- a/proxy/src/framing.rs
+++ b/proxy/src/framing.rs
@@ -42,6 +42,11 @@
         self.doubtful.is_some_and(|doubtful| number >= doubtful)
     }
 
+    /// Whether nothing has come of a message whose end has not.
+    pub fn is_between(&self) -> bool {
+        matches!(self.state, State::Head) && !self.begun && self.line.is_empty()
+    }
+
     /// Takes in what has come.
     pub fn read(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
@@ -126,7 +131,7 @@
 
     const CLEAR: [&str; 4] = [
         "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
-        "\r\nPOST / HTTP/1.1\r\ncontent-length: 5\r\n\r\n\n\r\nab",
+        "\r\nPOST / HTTP/1.1\r\ncontent-length: 5\r\n\r\na\n\r\n\n",
         "POST / HTTP/1.1\r\nContent-Length:0\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=1\r\n\r\nabc\r\nA \r\n0123456789\r\n0\r\nT: 1\r\n\r\n",
     ];
@@ -143,6 +148,13 @@
         for piece in 1..=text.len() {
             assert_eq!(doubtful_from(&text, piece), None, "in pieces of {piece}");
         }
+        for message in CLEAR {
+            let mut framing = Framing::default();
+            framing.read(&message.as_bytes()[..message.len() - 1]);
+            assert!(!framing.is_between(), "{message}");
+            framing.read(b"\n");
+            assert!(framing.is_between(), "{message}");
+        }
     }
 
     #[test]
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,19 +1,22 @@
 //! The application's connections: takes them in, closes those that are due or in the way, and stops.
 
+use crate::body::AnswerBody;
 use crate::driver::Handle;
 use crate::handover::lead_away;
 use crate::log;
 use crate::requests::{answer, Arrival};
 use crate::socket::Socket;
-use crate::upstream::HEAD_MOST;
+use crate::upstream::{BoxError, HEAD_MOST};
+use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
@@ -88,6 +91,53 @@
     }
 }
 
+/// An open request. It ends when this is dropped, with its answer's last byte handed over.
+struct Open {
+    phase: Rc<Cell<Phase>>,
+    socket: Socket,
+}
+
+impl Open {
+    fn begin(phase: &Rc<Cell<Phase>>, socket: &Socket) -> Open {
+        phase.set(Phase::Open);
+        Open { phase: phase.clone(), socket: socket.clone() }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        // A part of the next request may have come meanwhile.
+        self.phase.set(if self.socket.is_between() { Phase::Idle(now) } else { Phase::Begun(now) });
+    }
+}
+
+/// The body of an answer, which keeps its request open.
+struct Passing {
+    body: AnswerBody,
+    _open: Open,
+}
+
+impl Body for Passing {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A client's connection.
 struct Client {
     task: JoinHandle<()>,
@@ -227,6 +277,9 @@
             }
             let due = client.is_due(now, idle);
             if due {
+                if let Phase::Open = client.phase.get() {
+                    log("a client took nothing of its answer for too long: closed");
+                }
                 client.close();
             }
             !due && !client.task.is_finished()
@@ -247,22 +300,17 @@
             let number = asked.replace(asked.get() + 1);
             let doubtful = read.is_doubtful(number);
             let arrival = Arrival { whole_by: state.get().whole_by(&read), socket: read.clone(), doubtful };
-            let (driver, state, reads) = (driver.clone(), state.clone(), read.reads());
             let (crowded, first) = (crowded.clone(), number == 0);
-            let stopping = stopping.clone();
+            let (driver, stopping) = (driver.clone(), stopping.clone());
+            let open = Open::begin(&state, &read);
             async move {
-                state.set(Phase::Open);
-                let socket = arrival.socket.clone();
                 let mut answer = answer(driver, request, arrival).await;
                 // Many who ask once and keep their connections leave none for those who ask again. An answer that
                 // says so closes without crossing a request, and at once.
                 if stopping.get() || first && crowded.get() {
                     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
-                // What was read meanwhile may be half of the next request.
-                let now = Instant::now();
-                state.set(if socket.reads() == reads { Phase::Idle(now) } else { Phase::Begun(now) });
-                Ok::<_, Infallible>(answer)
+                Ok::<_, Infallible>(answer.map(|body| Passing { body, _open: open }))
             }
         });
         // The sweeps see to all times, so that none can be had twice by being slow in another way.
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -134,6 +134,11 @@
         self.0.framing.as_ref().is_some_and(|framing| framing.borrow().is_doubtful(number))
     }
 
+    /// Whether nothing has come of a request whose end has not.
+    pub fn is_between(&self) -> bool {
+        self.0.framing.as_ref().is_none_or(|framing| framing.borrow().is_between())
+    }
+
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(count)) = written {
             self.0.meter.borrow().wrote(count);
