Wait for long answers on a stop, and for clients to take what was handed over

Ruled out: answers broken by their servers (logged, not those), blocked writes past their limit (logged, never met), connection errors (traced, none at the time).

Now a client that takes its answer is not idle, a stop waits for what is open and ends what is not answered by then, idle connections close at once, and what comes whole 0.6 s after the order is refused.

--- a/proxy/src/body.rs
+++ b/proxy/src/body.rs
@@ -447,7 +447,7 @@
         match &mut *self {
             AnswerBody::Whole(whole) => {
                 let frame = ready!(Pin::new(whole).poll_frame(context));
-                Poll::Ready(frame.map(|Ok(frame)| Ok(frame)))
+                Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
             }
             AnswerBody::Stream(stream) => {
                 let piece = ready!(stream.poll_piece(context));
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -107,6 +107,15 @@
     Failed,
 }
 
+/// When a process that was told to stop does so.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// From here on it refuses requests that come whole.
+    pub refuse_from: Instant,
+    /// By this time every request has its answer, or the answer's beginning.
+    pub end: Instant,
+}
+
 /// A call from its request until it is answered and none of its attempts is out.
 struct Call {
     id: HeaderValue,
@@ -204,8 +213,9 @@
     memory: Memory,
     /// The listener takes connections.
     accepting: bool,
-    /// When the process ends, if that is known.
-    end: Option<Instant>,
+    /// Set when the process is to end; what tells of it.
+    stop: Option<Stop>,
+    stopped: Rc<Notify>,
     /// Told of each list.
     news: Rc<Notify>,
 }
@@ -277,7 +287,8 @@
             counters: Counters::new(config.classes.len()),
             memory: Memory::new(config.bodies),
             accepting: false,
-            end: None,
+            stop: None,
+            stopped: Rc::default(),
             news: Rc::default(),
             config: config.clone(),
         };
@@ -450,6 +461,12 @@
                 },
             }
         };
+        let expired = async {
+            tokio::select! {
+                () = expired => {}
+                () = async { sleep_until(self.stopped().await.end).await } => {}
+            }
+        };
         let end = tokio::select! {
             end = self.exchange(to, kept, forward, until, meter) => end,
             () = expired => match meter.is_whole() {
@@ -540,9 +557,36 @@
         }
     }
 
-    /// No request is to be open after this; those that come from here on get their answers by then.
-    pub fn end_by(&self, end: Instant) {
-        self.0.borrow_mut().end = Some(end);
+    /// The process is to end.
+    pub fn stop(&self, stop: Stop) {
+        let mut driver = self.0.borrow_mut();
+        driver.stop = Some(stop);
+        driver.calls.values_mut().for_each(|call| call.deadline = call.deadline.min(stop.end));
+        driver.stopped.notify_waiters();
+    }
+
+    /// Returns when requests that are not whole are no longer waited for: long answers to them might be cut off.
+    pub async fn closed(&self) {
+        sleep_until(self.stopped().await.refuse_from).await;
+    }
+
+    /// Returns once the process is to end.
+    async fn stopped(&self) -> Stop {
+        let stopped = self.0.borrow().stopped.clone();
+        loop {
+            let notified = stopped.notified();
+            let stop = self.0.borrow().stop;
+            match stop {
+                Some(stop) => return stop,
+                None => notified.await,
+            }
+        }
+    }
+
+    /// Refuses a request that the module was not told of, or knows as one whose client has gone.
+    pub fn refuse(&self, class: ClassId) -> Reply {
+        self.counters().take(class, true).end(Ending::Rejected);
+        Reply::Refused(Duration::ZERO)
     }
 
     /// Notes whether the listener takes connections.
@@ -707,7 +751,7 @@
 
     /// A deadline, or the end of the process if that comes first.
     fn latest(&self, deadline: Instant) -> Instant {
-        self.end.map_or(deadline, |end| deadline.min(end))
+        self.stop.map_or(deadline, |stop| deadline.min(stop.end))
     }
 
     fn subscribe(&mut self, handle: &Handle) {
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -61,7 +61,12 @@
     if upload.length().is_some_and(|length| length > BODY_MOST) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let gathered = upload.gather(&driver.memory()).await.map_err(Fault::status)?;
+    let memory = driver.memory();
+    let gathered = tokio::select! {
+        biased;
+        () = driver.closed() => return Ok(driver.refuse(ask.class)),
+        gathered = upload.gather(&memory) => gathered.map_err(Fault::status)?,
+    };
     let budget = budget - WAY_BACK.min(budget / WAY_BACK_PART);
     let deadline = match upload.end() {
         Some(Ok(whole)) => whole + budget,
@@ -71,6 +76,7 @@
     let large = gathered.is_none();
     let payload = gathered.map_or_else(|| Payload::Upload(upload.clone()), Payload::Whole);
     let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), payload, budget };
+    let class = ask.class;
     let mut waiting = driver.request(Ask { deadline, ..ask }, forward).ok_or(StatusCode::CONFLICT)?;
     if large {
         tokio::select! {
@@ -80,6 +86,8 @@
                 Err(fault) => return Err(fault.status()),
             },
             reply = waiting.reply() => return Ok(reply),
+            // Not whole, it has not run.
+            () = driver.closed() => return Ok(driver.refuse(class)),
         }
     }
     Ok(waiting.reply().await)
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,7 +1,7 @@
 //! The application's connections: takes them in, closes those that are due or in the way, and stops.
 
 use crate::body::AnswerBody;
-use crate::driver::Handle;
+use crate::driver::{Handle, Stop};
 use crate::handover::lead_away;
 use crate::log;
 use crate::requests::{answer, Arrival};
@@ -20,21 +20,25 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
-use tokio::time::{interval, sleep, timeout, timeout_at, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
 pub const BACKLOG: u32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
-/// How long open requests are waited for: the longest deadline, taken as this where it is longer, and a margin that
-/// ends before the process is killed.
+/// By when requests get their answers: the longest deadline, taken as this where it is longer, and a margin, which are
+/// over before the process is killed. Long answers may go on.
 const DEADLINE_MOST: Duration = Duration::from_secs(3);
 const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// From when on a request that comes whole is refused, after the order to stop: a long answer to it might be cut off
+/// when the process is killed. What came before that may be.
+const REFUSE_AFTER: Duration = Duration::from_millis(600);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
 const WHOLE_TIME: Duration = Duration::from_millis(2_750);
-/// How long a client may take nothing of an answer.
-const BLOCKED_MOST: Duration = Duration::from_secs(10);
+/// How long a client may seem to take nothing of an answer. The system tells of room only once a third of its buffer
+/// is free, which a slow client takes a while for.
+const BLOCKED_MOST: Duration = Duration::from_secs(60);
 /// How long a connection is kept on which no request is open. Clients may keep theirs for good and never use
 /// them again; those that do use them come back far sooner.
 const IDLE_MOST: Duration = Duration::from_secs(30);
@@ -55,8 +59,8 @@
     let mut clients = Clients { driver, open: Vec::new(), crowded: Rc::default(), stopping: Rc::default() };
     clients.driver.set_accepting(true);
     clients.accept(&listener, stop).await;
-    let stopped = Instant::now();
-    clients.stop(&listener, stopped + longest + STOP_MARGIN);
+    let now = Instant::now();
+    clients.stop(&listener, Stop { refuse_from: now + REFUSE_AFTER, end: now + longest + STOP_MARGIN });
     clients.accept(&listener, sleep(STOP_DELAY)).await;
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.make_room() {
@@ -64,8 +68,9 @@
         clients.serve(stream);
     }
     drop(listener);
-    // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-    let _ = timeout_at(stopped + longest + STOP_MARGIN, clients.finish()).await;
+    // Whoever sends half a request or does not read its answer is closed in time. What is still being answered is lost
+    // if the process ends before it; whoever wants that must kill it.
+    clients.finish().await;
 }
 
 /// What a client's connection is at, and since when.
@@ -148,17 +153,29 @@
 impl Client {
     /// Whether its time is up; one with no request open has `idle`.
     fn is_due(&self, now: Instant, idle: Duration) -> bool {
+        if let Some(stuck) = self.is_stuck(now) {
+            return stuck;
+        }
         match self.phase.get() {
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
             // What has come and was not read may be a whole request.
             Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
-            Phase::Open => self.socket.blocked_since().is_some_and(|since| now >= since + BLOCKED_MOST),
+            Phase::Open => false,
         }
     }
 
+    /// Whether it takes nothing of an answer, which may have been handed over whole, for too long. Until then what is
+    /// left of the answer keeps it open.
+    fn is_stuck(&self, now: Instant) -> Option<bool> {
+        self.socket.blocked_since().map(|since| now >= since + BLOCKED_MOST)
+    }
+
     /// How well it can be spared, those with the least number first; `None`: not at all. A new one is given time
     /// to ask, else each of a crowd would be closed for the next before its request is there.
     fn spare(&self, now: Instant) -> Option<(u8, Instant)> {
+        if self.is_stuck(now).is_some() {
+            return None;
+        }
         let (rank, since) = match self.phase.get() {
             Phase::New(since) | Phase::Begun(since) => (0, since),
             Phase::Idle(since) if now >= since + IDLE_LEAST => (1, since),
@@ -216,11 +233,11 @@
         }
     }
 
-    /// The process is to end, by `end` at the latest: clients are led to its successor, if there is one.
-    fn stop(&self, listener: &TcpListener, end: Instant) {
+    /// The process is to end: clients are led to its successor, if there is one.
+    fn stop(&self, listener: &TcpListener, stop: Stop) {
         self.stopping.set(true);
         self.driver.set_accepting(false);
-        self.driver.end_by(end);
+        self.driver.stop(stop);
         self.driver.share(2);
         if let Err(error) = lead_away(listener) {
             log(&format!("connections go on coming here: {error}"));
@@ -234,13 +251,6 @@
         while !self.open.is_empty() {
             sweeps.tick().await;
             self.sweep();
-            self.open.retain(|client| {
-                let leaves = client.is_due(Instant::now(), Duration::ZERO);
-                if leaves {
-                    client.close();
-                }
-                !leaves
-            });
         }
     }
 
@@ -267,7 +277,12 @@
     /// Closes what is due, and notes whose next request has begun to come.
     fn sweep(&mut self) {
         let now = Instant::now();
-        let idle = if self.crowded.get() { IDLE_LEAST } else { IDLE_MOST };
+        let idle = match (self.stopping.get(), self.crowded.get()) {
+            // What comes now is better off at the successor, which has the time for a long answer.
+            (true, _) => Duration::ZERO,
+            (false, true) => IDLE_LEAST,
+            (false, false) => IDLE_MOST,
+        };
         self.open.retain(|client| {
             if let Phase::Idle(since) = client.phase.get() {
                 let read_at = client.socket.read_at();
@@ -277,7 +292,7 @@
             }
             let due = client.is_due(now, idle);
             if due {
-                if let Phase::Open = client.phase.get() {
+                if client.is_stuck(now).is_some() {
                     log("a client took nothing of its answer for too long: closed");
                 }
                 client.close();
@@ -321,8 +336,35 @@
             .serve_connection(socket.clone(), service);
         let task = spawn_local(async move {
             // A connection that breaks ends its request's waiting, which tells the module.
-            let _ = connection.await;
+            if let Err(e) = connection.await {
+                crate::log(&format!("DEBUG conn {e:?}"));
+            }
         });
         self.open.push(Client { task, socket, phase });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::rt::Write;
+    use std::task::Waker;
+
+    /// The end of an answer may be handed over long before its client has taken it: closing then would cut it off.
+    #[tokio::test]
+    async fn a_client_that_has_not_taken_its_answer_is_not_idle() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (far, near) = tokio::join!(TcpStream::connect(address), listener.accept());
+        let mut socket = Socket::of_client(near.expect("accepted").0);
+        let since = Instant::now() - IDLE_MOST;
+        let (task, phase) = (tokio::spawn(async {}), Rc::new(Cell::new(Phase::Idle(since))));
+        let client = Client { task, socket: socket.clone(), phase };
+        assert!(client.is_due(Instant::now(), IDLE_LEAST) && client.spare(Instant::now()).is_some());
+        let mut context = Context::from_waker(Waker::noop());
+        while Pin::new(&mut socket).poll_write(&mut context, &[0; 1 << 16]).is_ready() {}
+        assert!(!client.is_due(Instant::now(), IDLE_LEAST) && client.spare(Instant::now()).is_none());
+        assert!(client.is_due(Instant::now() + BLOCKED_MOST, IDLE_LEAST), "not for good");
+        drop(far);
+    }
+}
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::io::{BufRead, BufReader, Read as _};
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::slice::from_ref;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,7 +46,7 @@
             }
         };
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
-        // Its time is longer than a stop may take: it is dropped, in order.
+        // Its time is longer than a stop may take: it gets its answer early.
         let mut stuck = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
         stuck.send(&request("unsafe", "", "")).await;
         eventually("the host has it", || host.count() == 2).await;
@@ -59,6 +59,7 @@
             }
         };
         assert_eq!(code, Some(0));
+        assert_eq!(stuck.message().await.expect("an answer").status(), 502);
         let mut log = String::new();
         child.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
         assert!(!log.contains("panicked"), "{log}");
@@ -66,6 +67,17 @@
     });
 }
 
+/// A process that does not outlive its test.
+struct Started(Child);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// What a call of operators gets, or nothing while nobody listens there.
 async fn call(admin: &str, line: &str) -> String {
     let mut answer = String::new();
@@ -80,7 +92,7 @@
 #[test]
 fn a_new_process_takes_over_from_the_old_one() {
     run(async {
-        let host = Host::start([ok("served")]).await;
+        let host = Host::start([ok("served"), Act::Stall, ok("served")]).await;
         let discovery = Discovery::quiet().await;
         let port = port();
         let address = port.local_addr().expect("an address");
@@ -92,35 +104,40 @@
         let start = |admin: &str| {
             let mut command = program(&config, "beside.json").0;
             command.env("TMPDIR", &folder).env("ROUTER_ADMIN", admin).stderr(Stdio::null());
-            command.spawn().expect("it starts")
+            Started(command.spawn().expect("it starts"))
         };
-        let (here, there) = ("127.0.0.4:9600", "127.0.0.4:9601");
+        let admins = [self::port(), self::port()];
+        let [here, there] = admins.each_ref().map(|port| port.local_addr().expect("an address").to_string());
+        let (here, there) = (here.as_str(), there.as_str());
         let mut old = start(here);
         while call(here, "health\n").await != "SUCCESS yes\n" {}
         let mut client = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
+        let mut busy = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
+        busy.send(&request("unsafe", "", "")).await;
+        eventually("the host has it", || host.count() == 2).await;
         let mut new = start(there);
         while call(there, "health\n").await != "SUCCESS yes\n" {}
-        assert!(Command::new("kill").arg(old.id().to_string()).status().expect("kill runs").success());
+        assert!(Command::new("kill").arg(old.0.id().to_string()).status().expect("kill runs").success());
         while call(here, "health\n").await == "SUCCESS yes\n" {}
         for _ in 0..16 {
             let mut next = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
             let answer = next.ask(&request("unsafe", "", "")).await;
             assert_eq!((answer.status(), answer.header("connection")), (200, None), "it is the new one's");
         }
-        let last = client.ask(&request("unsafe", "", "")).await;
+        assert!(client.message().await.is_none(), "closed between requests");
+        host.release.notify_one();
+        let last = busy.message().await.expect("an answer");
         assert_eq!((last.status(), last.header("connection")), (200, Some("close")), "it is the old one's");
-        assert!(client.message().await.is_none());
         let ended = loop {
-            match old.try_wait().expect("it can be waited for") {
+            match old.0.try_wait().expect("it can be waited for") {
                 Some(status) => break status,
                 None => sleep(Duration::from_millis(5)).await,
             }
         };
         assert!(ended.success());
         assert_eq!(call(there, "health\n").await, "SUCCESS yes\n");
-        new.kill().expect("it still runs");
-        new.wait().expect("it can be waited for");
+        assert!(new.0.try_wait().expect("it can be waited for").is_none(), "it still runs");
     });
 }
 
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -4,7 +4,10 @@
 
 use common::*;
 use std::slice::from_ref;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
 #[test]
@@ -28,6 +31,39 @@
     });
 }
 
+/// A long answer goes on for as long as it takes: ending before it would cut it off. What comes whole long after the
+/// order to stop is refused, as the process may be killed under a long answer to it.
+#[test]
+fn a_stop_waits_for_a_long_answer_and_refuses_what_comes_late() {
+    run(async {
+        const HALF: usize = 100_000;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let host = Host { address, ..Host::start([Act::Stall]).await };
+        let mut proxy = Proxy::start(from_ref(&host)).await;
+        let (mut client, mut late) = (proxy.client().await, proxy.client().await);
+        client.send(&request("free", "", "")).await;
+        let mut stream = listener.accept().await.expect("the proxy connects").0;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 2 * HALF);
+        stream.write_all(head.as_bytes()).await.expect("written");
+        stream.write_all(&[b'a'; HALF]).await.expect("written");
+        let text = request("unsafe", "", "body");
+        late.send(&text[..text.len() - 1]).await;
+        client.stream.readable().await.expect("the answer has begun");
+        drop(proxy.stop.take());
+        sleep(Duration::from_millis(900)).await;
+        late.send("y").await;
+        let answer = late.message().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("retry-after").is_some()), (503, true));
+        // Longer than any answer that is not long may take.
+        sleep(Duration::from_secs(3)).await;
+        stream.write_all(&[b'b'; HALF]).await.expect("written");
+        let answer = client.message().await.expect("an answer");
+        assert_eq!((answer.body.len(), answer.body.last()), (2 * HALF, Some(&b'b')));
+        (&mut proxy.task).await.expect("it ends without a panic").expect("it listened");
+    });
+}
+
 /// A proxy that was killed leaves connections at its address; the next one must start there at once.
 #[test]
 fn the_address_can_be_used_again_at_once() {
