--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -177,16 +177,18 @@
             return None;
         }
         let (rank, since) = match self.phase.get() {
-            Phase::New(since) | Phase::Begun(since) => (0, since),
+            Phase::New(since) if self.socket.reads() == 0 => (0, since),
             Phase::Idle(since) if now >= since + IDLE_LEAST => (1, since),
             // Those that come back keep theirs before those that have asked once, and may never again.
             Phase::Idle(since) if self.socket.reads() <= 1 => (2, since),
-            Phase::Idle(since) => (3, since),
+            // Half a request may become one: the longer it has taken, the less likely.
+            Phase::New(since) | Phase::Begun(since) => (3, since),
+            Phase::Idle(since) => (4, since),
             Phase::Open => return None,
         };
         // What has come and was not read may be a whole request.
-        let idle = rank > 0 && !self.socket.is_quiet();
-        (now >= since + BEGUN && !idle).then_some((rank, since))
+        let unread = matches!(self.phase.get(), Phase::Idle(_)) && !self.socket.is_quiet();
+        (now >= since + BEGUN && !unread).then_some((rank, since))
     }
 
     /// Closes it; its descriptor is free when this returns.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -189,9 +189,13 @@
         self.set_timer(now, actions);
     }
 
-    /// How many servers of the list get no ordinary calls now: they are set aside, or in a zone passed over.
+    /// How many servers of the list get no calls now: they are set aside and not being tried, or in a zone
+    /// passed over.
     pub fn avoided(&self, now: Micros) -> usize {
-        let avoided = |s: &&Server| s.listed && (s.budget.steps == 0 || !self.near(now, s));
+        let rests = |s: &Server| {
+            s.budget.steps == 0 && !s.budget.trial_out && !s.returning(now, self.served, &self.settings.rules)
+        };
+        let avoided = |s: &&Server| s.listed && (rests(s) || !self.near(now, s));
         self.servers.iter().filter(avoided).count()
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -304,3 +304,24 @@
     proxy.list(ListKind::Full, (1..=50).filter(|i| *i > 8).map(ready).collect());
     assert!((0..20).all(|_| (proxy.wait(500 * MS), proxy.serve(20 * MS)).1.is_some_and(|s| s.0 > 8)));
 }
+
+/// Operators are told of servers that get nothing now: one that is set aside, until its backoff is over.
+#[test]
+fn a_server_set_aside_is_avoided_until_it_may_be_tried() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    assert_eq!(proxy.balancer.avoided(proxy.now), 0);
+    for _ in 0..60 {
+        let (call, actions) = proxy.call();
+        for (attempt, (_, server)) in (0..).zip(sent(&actions)) {
+            let outcome = if server == ServerId(1) { Outcome::Error } else { Outcome::Served };
+            proxy.now += 10 * MS;
+            proxy.end(call, attempt, outcome, 10 * MS);
+        }
+        if proxy.balancer.avoided(proxy.now) == 1 {
+            proxy.now += 1_000 * MS;
+            assert_eq!(proxy.balancer.avoided(proxy.now), 0);
+            return;
+        }
+    }
+    panic!("the failing server is never set aside");
+}
