--- a/proxy/src/counters.rs
+++ b/proxy/src/counters.rs
@@ -6,6 +6,7 @@
 use serde_json::{json, Value};
 use std::cell::{Ref, RefCell, RefMut};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 
 /// How a request ended that its client waited for.
@@ -89,6 +90,15 @@
     }
 }
 
+/// What only the log shows.
+impl fmt::Display for Figures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Figures { attempts, opened, open_failed, broken_reuse, outcomes, unusable, .. } = self;
+        write!(formatter, "attempts: {attempts}, opened: {opened}, open_failed: {open_failed}, ")?;
+        write!(formatter, "broken_reuse: {broken_reuse}, outcomes: {outcomes:?}, unusable: {unusable:?}")
+    }
+}
+
 /// The figures, shared by all that counts.
 #[derive(Clone, Debug, Default)]
 pub struct Counters(Rc<RefCell<Figures>>);
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -160,6 +160,15 @@
     Event::Outcome { call, attempt, outcome, elapsed, closed, load }
 }
 
+/// What an attempt sends where, and until when it waits.
+#[derive(Clone, Copy)]
+struct Sending<'a> {
+    to: (ServerId, SocketAddr),
+    forward: &'a Forward,
+    until: Instant,
+    meter: &'a Meter,
+}
+
 /// An attempt that is out.
 struct Attempt {
     server: ServerId,
@@ -344,14 +353,12 @@
 
     /// Writes the figures so far to the log.
     pub fn log_counts(&self) {
+        let figures = self.figures();
         let driver = self.0.borrow();
         let idle: usize = driver.hosts.values().map(|h| h.idle.len()).sum();
-        let keep = driver.keep();
-        let (calls, open) = (driver.calls.len(), Rc::strong_count(&driver.slots) - 1);
-        crate::log(&format!(
-            "{calls} calls, {open} connections ({idle} idle, kept for {keep:?}), {:?}",
-            driver.counters.get()
-        ));
+        let (keep, open) = (driver.keep(), Rc::strong_count(&driver.slots) - 1);
+        let counters = driver.counters.get();
+        crate::log(&format!("{open} connections ({idle} idle, kept for {keep:?}), {figures}, {counters}"));
     }
 
     /// Takes a request in. `None`: its id is open already; hosts would take the two for one.
@@ -440,14 +447,8 @@
 
     /// One attempt, from its connection to its outcome. It is over at its deadline whatever happens, unless its answer
     /// has begun to be passed on.
-    async fn attempt(
-        &self,
-        to: (ServerId, SocketAddr),
-        kept: Option<(Duration, Connection)>,
-        forward: &Forward,
-        until: Instant,
-        meter: &Meter,
-    ) -> End {
+    async fn attempt(&self, sending: Sending<'_>, kept: Option<(Duration, Connection)>) -> End {
+        let Sending { forward, until, meter, .. } = sending;
         let upload = forward.payload.upload();
         let expired = async {
             match upload.map(|upload| upload.ended()) {
@@ -468,7 +469,7 @@
             }
         };
         let end = tokio::select! {
-            end = self.exchange(to, kept, forward, until, meter) => end,
+            end = self.exchange(sending, kept) => end,
             () = expired => match meter.is_whole() {
                 true => End::without_answer(Outcome::TimedOut),
                 false if upload.is_some_and(|upload| upload.is_spent()) => End::without_answer(Outcome::CutShort),
@@ -482,14 +483,8 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        to: (ServerId, SocketAddr),
-        kept: Option<(Duration, Connection)>,
-        forward: &Forward,
-        until: Instant,
-        meter: &Meter,
-    ) -> End {
+    async fn exchange(&self, sending: Sending<'_>, kept: Option<(Duration, Connection)>) -> End {
+        let Sending { to, forward, until, meter } = sending;
         let memory = self.0.borrow().memory.clone();
         let terms = || {
             let handle = self.clone();
@@ -710,7 +705,8 @@
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
             upstream::spawn(async move {
-                let end = handle.attempt((server, address), kept, &forward, until, &meter).await;
+                let sending = Sending { to: (server, address), forward: &forward, until, meter: &meter };
+                let end = handle.attempt(sending, kept).await;
                 handle.finish(id, attempt, end);
             })
         };
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -57,7 +57,8 @@
 /// Passes a request on and waits for its end. What cannot be used is turned away with a status; the module never sees
 /// it, or sees a client that has gone.
 async fn pass_on(driver: &Handle, head: Parts, upload: &Rc<Upload>) -> Result<Reply, StatusCode> {
-    let (ask, budget) = ask(driver, &head.method, &head.headers, upload.length() == Some(0))?;
+    let usable = usable(driver, &head.method, &head.headers, upload.length() == Some(0));
+    let (ask, budget) = usable.ok_or(StatusCode::BAD_REQUEST)?;
     if upload.length().is_some_and(|length| length > BODY_MOST) {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
@@ -93,17 +94,7 @@
     Ok(waiting.reply().await)
 }
 
-/// What a head says, and the client's time. A status if it says too little, or two things.
-fn ask(
-    driver: &Handle,
-    method: &Method,
-    headers: &HeaderMap,
-    empty: bool,
-) -> Result<(Ask, Duration), StatusCode> {
-    usable(driver, method, headers, empty).ok_or(StatusCode::BAD_REQUEST)
-}
-
-/// `None` if the id, class or budget is missing, double or unusable, or the request is not of its class's form.
+/// What a head says, and the client's time. `None` if the id, class or budget is missing, double or unusable, or the request is not of its class's form.
 fn usable(driver: &Handle, method: &Method, headers: &HeaderMap, empty: bool) -> Option<(Ask, Duration)> {
     let config = driver.config();
     single(headers, "x-call-id").filter(|id| !id.is_empty())?;
--- a/proxy/tests/bodies.rs
+++ b/proxy/tests/bodies.rs
@@ -28,6 +28,13 @@
     async fn accept(&self) -> TcpStream {
         self.listener.accept().await.expect("the proxy connects").0
     }
+
+    /// A connection of the proxy, and the head of the request that came on it.
+    async fn request(&self) -> (TcpStream, String) {
+        let mut stream = self.accept().await;
+        let head = read_until(&mut stream, "\r\n\r\n").await;
+        (stream, head)
+    }
 }
 
 /// Reads up to and with this text.
@@ -52,8 +59,7 @@
         let mut client = proxy.client().await;
         client.send(&upload("unsafe", LARGE).replace("8000", "300")).await;
         client.send(&"a".repeat(LARGE / 2)).await;
-        let mut host = played.accept().await;
-        read_until(&mut host, "\r\n\r\n").await;
+        let (mut host, _) = played.request().await;
         host.read_exact(&mut vec![0; LARGE / 2]).await.expect("the first half");
         // Longer than its client waits for the answer.
         sleep(Duration::from_millis(500)).await;
@@ -173,8 +179,7 @@
         let proxy = Proxy::start(from_ref(&played.host)).await;
         let mut client = proxy.client().await;
         client.send(&request("unsafe", "", "").replace("8000", "1000")).await;
-        let mut host = played.accept().await;
-        read_until(&mut host, "\r\n\r\n").await;
+        let (mut host, _) = played.request().await;
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n");
         host.write_all(head.as_bytes()).await.expect("written");
         host.write_all(&vec![b'a'; LARGE / 2]).await.expect("written");
@@ -200,8 +205,7 @@
             let proxy = Proxy::start(from_ref(&played.host)).await;
             let mut client = proxy.client().await;
             client.send(&request("free", "", "")).await;
-            let mut host = played.accept().await;
-            read_until(&mut host, "\r\n\r\n").await;
+            let (mut host, _) = played.request().await;
             let piece = format!("19000\r\n{}\r\n", "a".repeat(0x19000));
             host.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n{piece}").as_bytes())
                 .await
@@ -226,8 +230,7 @@
         let proxy = Proxy::start(from_ref(&played.host)).await;
         let mut client = proxy.client().await;
         client.send(&request("free", "", "")).await;
-        let mut host = played.accept().await;
-        read_until(&mut host, "\r\n\r\n").await;
+        let (mut host, _) = played.request().await;
         host.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.expect("written");
         let written = std::rc::Rc::new(std::cell::Cell::new(0));
         let count = written.clone();
