--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -325,3 +325,46 @@
     }
     panic!("the failing server is never set aside");
 }
+
+fn coming(proxy: &mut Proxy, call: u64) -> Vec<Action> {
+    let (call, class) = (CallId(1_000 + call), ClassId(0));
+    let request =
+        Event::Request { call, class, tenant: None, time_left: 1_200 * MS, resent: false, once: true };
+    proxy.event(request)
+}
+
+/// A server has no work with a call that is still coming: it fills no budget, and its time begins when it is whole.
+#[test]
+fn a_call_that_is_still_coming_takes_no_place() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 1);
+    for call in 0..4 {
+        assert_eq!(sent(&coming(&mut proxy, call)).len(), 1);
+    }
+    proxy.now += 10_000 * MS;
+    assert!(proxy.event(Event::Timer).is_empty(), "its client does not wait yet");
+    // One whole call fills the budget, one more passes as the trial, and the next waits.
+    proxy.event(Event::Uploaded { call: CallId(1_000), time_left: 1_200 * MS });
+    let (trial, actions) = proxy.call();
+    assert_eq!(sent(&actions), [(trial, ServerId(1))]);
+    let (held, actions) = proxy.call();
+    assert!(sent(&actions).is_empty());
+    proxy.now += 50 * MS;
+    assert!(sent(&proxy.end(CallId(1_000), 0, Outcome::Served, 50 * MS)).is_empty(), "the trial is out");
+    assert_eq!(sent(&proxy.end(trial, 0, Outcome::Served, 50 * MS)), [(held, ServerId(1))]);
+}
+
+/// What can be sent once goes again only while nothing of it was written; cut short, it never ran and is refused.
+#[test]
+fn a_call_that_can_be_sent_once_goes_again_only_unspent() {
+    for (outcome, again) in [(Outcome::NoConnection, true), (Outcome::CutShort, false)] {
+        let mut proxy = Proxy::new(settings(Repeat::SingleShot), 3);
+        coming(&mut proxy, 0);
+        let actions = proxy.end(CallId(1_000), 0, outcome, 0);
+        assert_eq!(sent(&actions).len(), usize::from(again), "{outcome:?}");
+        assert_eq!(refused(&actions, CallId(1_000)), !again, "{outcome:?}");
+    }
+    // The same outcome lets a call go again whose body is at hand.
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 3);
+    let (call, _) = proxy.call();
+    assert_eq!(sent(&proxy.end(call, 0, Outcome::CutShort, 0)).len(), 1);
+}
