--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -40,7 +40,8 @@
     pub operators: Option<TcpListener>,
 }
 
-/// How long clients are kept waiting for a list of hosts: without one they are at least told so.
+/// How long clients are kept waiting for a list of hosts: without one they are at least told so, unless another process
+/// serves them.
 const LIST_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
@@ -70,7 +71,7 @@
     let serving = async {
         // A client that connects before there is a list could only be turned away, and one of a process that is to be
         // replaced would have been served there.
-        let _ = timeout(LIST_WAIT, driver.listed()).await;
+        while timeout(LIST_WAIT, driver.listed()).await.is_err() && driver.config().processes > 1 {}
         server::serve(listeners.clients.listen(server::BACKLOG)?, driver.clone(), stop).await;
         driver.log_counts();
         Ok(())
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
@@ -99,6 +100,30 @@
     });
 }
 
+/// A process without a list leaves clients to the one beside it, for as long as that is there.
+#[test]
+fn a_process_without_a_list_does_not_listen_beside_another() {
+    run(async {
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("listless");
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let other = nettleworks::handover::show_presence(&folder, |_| ()).await.expect("shown");
+        let config = configuration(Discovery::quiet().await.address, &[], |_| ());
+        let config = nettleworks::config::Config::parse(&config).expect("a good configuration");
+        let clients = nettleworks::handover::bind(config.listen).expect("bound");
+        let address = clients.local_addr().expect("an address");
+        let listeners = nettleworks::Listeners { clients, operators: None };
+        let stop = std::future::pending::<()>();
+        let proxy = spawn_local(nettleworks::run(config, listeners, Some(folder), async || None, stop));
+        sleep(Duration::from_millis(2_500)).await;
+        assert!(TcpStream::connect(address).await.is_err(), "clients are the other's");
+        drop(other);
+        while TcpStream::connect(address).await.is_err() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        proxy.abort();
+    });
+}
+
 /// Of two processes one has the limits to itself when the other ends.
 #[test]
 fn a_process_knows_whether_it_is_alone() {
