--- a/proxy/src/admin.rs
+++ b/proxy/src/admin.rs
@@ -76,7 +76,11 @@
         line.and_then(|line| answer(&line, &driver)).unwrap_or_else(|why| format!("FAILURE {why}\n"));
     let said = async {
         stream.write_all(answer.as_bytes()).await?;
-        stream.shutdown().await
+        stream.shutdown().await?;
+        // Closing on what is still to be read would reset the connection, and the answer might be lost with it.
+        let mut rest = [0; LINE_MOST];
+        while stream.read(&mut rest).await? > 0 {}
+        Ok::<_, io::Error>(())
     };
     // A caller that does not take its answer has none.
     let _ = timeout(ANSWER_TIME, said).await;
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -52,7 +52,9 @@
     run(async {
         let host = Host::start([ok("served")]).await;
         let (_proxy, admin) = started(from_ref(&host), |_| ()).await;
-        for line in ["\n", "HEALTH\n", "stop\n", "health counters\n", &"x".repeat(5_000)] {
+        for line in
+            ["\n", "HEALTH\n", "stop\n", "health counters\n", "\u{0}\u{1}\u{7f}\n", &"x".repeat(500_000)]
+        {
             let answer = call(admin, line).await;
             assert!(answer.starts_with("FAILURE ") && answer.lines().count() == 1, "{line}: {answer}");
         }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -191,6 +191,8 @@
         (&good.replace("127.0.0.1:0", "nowhere"), "address"),
         (&good.replace("8c1f", "seed"), "seed"),
         (&good.replace("1024", "12"), "sockets"),
+        (&good.replacen('{', "{\"admin\":\"nowhere\",", 1), "address"),
+        (&good.replacen('{', "{\"admin\":\"192.0.2.1:9600\",", 1), "192.0.2.1:9600"),
         (&good.replace("\"cold_us\"", "\"cold_hs\""), "cold_us"),
     ];
     for (number, (config, reason)) in cases.iter().enumerate() {
