Open a lost watch of the list again within the drain grace

At fault: proxy/src/discovery.rs noticed silence after 5 s, and each connect and head could take 5 s more; proxy/src/driver.rs opened a pushed watch again only after a fixed second (PUSH_RETRY). What the agent has counts as told whether or not a watch is open, so a reset just before a drain left 1 s against a grace of 0.4 s; after silence 5 + 1 + (failed calls of 1 s each) stood against 6 s + grace.

Now: silence is noticed after 3 s (heartbeats come every 2 s); a watch that had been open is opened again at once; calls to the local agent are given up after a third of the drain grace and repeated after a tenth of it, so that what it has on its return is known within 0.44 of the grace and one call. For a grace of 0.4 s: 133 + 40 ms. After silence: 3 s + any number of such calls. Where lists are asked for the module still says when; a call may wait its turn for 3 s. Of calls that fail in a row the log has the first only.

Tests: a_silent_watch_is_replaced_in_time (silent from its first byte, in its head, after it, in a line; with two failed calls behind it) and a_watch_of_a_pushed_list_is_back_within_the_drain_grace (reset; an agent that takes calls and says nothing). Both fail without the mend.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,7 +1,7 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
 use crate::admin::CALLERS_MOST;
-use crate::discovery::List;
+use crate::discovery::{List, Patience};
 use ochrepond::Settings;
 use serde::Deserialize;
 use serde_json::Value;
@@ -47,6 +47,8 @@
     pub connect_timeout: Duration,
     /// How long hosts keep an idle connection.
     pub conn_idle: Duration,
+    /// How long something new may still be sent to a host after it was told to be draining or gone.
+    pub drain_grace: Duration,
 }
 
 #[derive(Deserialize)]
@@ -81,6 +83,20 @@
 struct Site {
     #[serde(default)]
     limits: Connections,
+    #[serde(default)]
+    invariants: Drains,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Drains {
+    drain_grace_us: u64,
+}
+
+impl Default for Drains {
+    fn default() -> Self {
+        Drains { drain_grace_us: 400_000 }
+    }
 }
 
 #[derive(Deserialize)]
@@ -109,7 +125,7 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
         let (settings, classes, tenants) =
             ochrepond_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
-        let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?.limits;
+        let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
         }
@@ -125,8 +141,9 @@
             settings,
             classes,
             tenants,
-            connect_timeout: Duration::from_micros(site.connect_timeout_us),
-            conn_idle: Duration::from_micros(site.conn_idle_us),
+            connect_timeout: Duration::from_micros(site.limits.connect_timeout_us),
+            conn_idle: Duration::from_micros(site.limits.conn_idle_us),
+            drain_grace: Duration::from_micros(site.invariants.drain_grace_us),
         })
     }
 
@@ -160,6 +177,14 @@
         self.sockets / self.processes / 6
     }
 
+    /// How long a watch of the list is waited for.
+    pub fn watch_patience(&self) -> Patience {
+        match self.settings.ask {
+            true => Patience::for_asking(),
+            false => Patience::for_pushes(self.drain_grace),
+        }
+    }
+
     /// How long requests that were taken before the order to stop are given at the most.
     pub fn longest_deadline(&self) -> Duration {
         Duration::from_micros(self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The list of hosts: its form, and the watch that brings its changes.
 
-use crate::upstream::{self, BoxError};
+use crate::upstream::{self, BoxError, Task};
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
@@ -10,8 +10,18 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// A heartbeat comes every 2 s: a watch that is silent for two and a half of them is taken for dead.
-const SILENCE: Duration = Duration::from_secs(5);
+/// A heartbeat comes every 2 s: a watch that is silent for one and a half of them is taken for dead. What it misses counts
+/// as told 6 s after it fell silent, so half of that is left for opening it anew.
+const SILENCE: Duration = Duration::from_secs(3);
+/// An agent on this machine answers at once. One that does not is asked again, and what it has when it speaks again counts
+/// as told at once: a third of the drain grace goes by before a call is given up and a tenth until the next, which leaves
+/// more than half for that one. Below the least, calls would be given up that only wait for the processor.
+const ANSWER_PART: u32 = 3;
+const ANSWER_LEAST: Duration = Duration::from_millis(100);
+const ANSWER_MOST: Duration = Duration::from_secs(1);
+const PAUSE_PART: u32 = 10;
+const PAUSE_LEAST: Duration = Duration::from_millis(10);
+const PAUSE_MOST: Duration = Duration::from_millis(100);
 /// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
 const LINE_MOST: usize = 4 << 20;
 
@@ -60,47 +70,90 @@
     Gone,
 }
 
-/// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns why:
-/// the connection broke or ended, the answer was not 200, a line was bad, or nothing came for too long.
-pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> BoxError {
-    match follow(discovery, since, &mut news).await {
-        Ok(()) => "the watch ended".into(),
-        Err(reason) => reason,
+/// How long a watch is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// From the call to the head of its answer.
+    answer: Duration,
+    /// Until a watch that has ended is opened again; `None`: the decision module says when.
+    pub pause: Option<Duration>,
+}
+
+impl Patience {
+    /// Where the list is asked for: calls may have to wait for their turn.
+    pub fn for_asking() -> Patience {
+        Patience { answer: SILENCE, pause: None }
+    }
+
+    /// Where the list is pushed to an agent on this machine.
+    pub fn for_pushes(drain_grace: Duration) -> Patience {
+        let answer = (drain_grace / ANSWER_PART).clamp(ANSWER_LEAST, ANSWER_MOST);
+        let pause = (drain_grace / PAUSE_PART).clamp(PAUSE_LEAST, PAUSE_MOST);
+        Patience { answer, pause: Some(pause) }
     }
 }
 
-async fn follow(
+/// How a watch ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The connection broke or ended, the answer was not 200, what came was no list, or nothing came for too long.
+    pub reason: BoxError,
+    /// It had been open: it is worth opening again at once.
+    pub opened: bool,
+}
+
+/// Watches the list from version `since` on and passes on what comes, until the watch ends.
+pub async fn watch(
     discovery: SocketAddr,
     since: Option<u64>,
-    news: &mut impl FnMut(List),
-) -> Result<(), BoxError> {
-    let stream = timeout(SILENCE, upstream::dial(discovery)).await??;
+    patience: Patience,
+    mut news: impl FnMut(List),
+) -> Ended {
+    let opening = async { timeout(patience.answer, open(discovery, since)).await? };
+    match opening.await {
+        Ok((body, _connection)) => Ended { reason: follow(body, &mut news).await, opened: true },
+        Err(reason) => Ended { reason, opened: false },
+    }
+}
+
+async fn open(discovery: SocketAddr, since: Option<u64>) -> Result<(Incoming, Task), BoxError> {
+    let stream = upstream::dial(discovery).await?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = upstream::spawn(connection);
+    let connection = upstream::spawn(connection);
     let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
     let request = Request::get(format!("/catalog/members?follow=1{since}"))
         .header(header::HOST, discovery.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    let response = sender.send_request(request).await?;
     if response.status() != StatusCode::OK {
         return Err(format!("discovery answered {}", response.status()).into());
     }
-    let mut body = response.into_body();
+    Ok((response.into_body(), connection))
+}
+
+async fn follow(mut body: Incoming, news: &mut impl FnMut(List)) -> BoxError {
     let mut pending = Vec::new();
-    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
-        let Ok(data) = frame?.into_data() else { continue };
+    loop {
+        let data = match timeout(SILENCE, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(Some(Err(error))) => return error.into(),
+            Ok(None) => return "the watch ended".into(),
+            Err(silent) => return silent.into(),
+        };
         for piece in data.split_inclusive(|&byte| byte == b'\n') {
             if pending.len() + piece.len() > LINE_MOST {
-                return Err("a line is too long".into());
+                return "a line is too long".into();
             }
             pending.extend_from_slice(piece);
             if piece.ends_with(b"\n") {
                 if !pending.trim_ascii().is_empty() {
-                    news(serde_json::from_slice(&pending)?);
+                    match serde_json::from_slice(&pending) {
+                        Ok(list) => news(list),
+                        Err(error) => return error.into(),
+                    }
                 }
                 pending.clear();
             }
         }
     }
-    Ok(())
 }
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -29,8 +29,6 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// How many sweeps pass between two lines of figures in the log.
 const SWEEPS_A_LINE: u32 = 10;
-/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
-const PUSH_RETRY: Duration = Duration::from_secs(1);
 
 /// The proxy's clock: it counts from Unix time at the start, so that start times of hosts can be told in it,
 /// and never goes back, whatever is done to the system's clock.
@@ -211,6 +209,8 @@
     watch: Option<upstream::Task>,
     /// Number of the present watch: what an earlier one still has to say no longer counts.
     watches: u64,
+    /// The last call to discovery brought no watch.
+    watch_lost: bool,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
     /// When the module wants to be woken next, and what tells the one timer of a change.
@@ -289,6 +289,7 @@
             listed: false,
             watch: None,
             watches: 0,
+            watch_lost: false,
             slots: Rc::default(),
             wake: None,
             woken: Rc::default(),
@@ -752,24 +753,36 @@
 
     fn subscribe(&mut self, handle: &Handle) {
         let (handle, discovery, since) = (handle.clone(), self.config.discovery, self.seq);
-        let pushed = !self.config.settings.ask;
+        let patience = self.config.watch_patience();
         self.watches += 1;
         let watch = self.watches;
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(upstream::spawn(async move {
-            let reason = discovery::watch(discovery, since, |list| handle.members(list, Some(watch))).await;
+            let news = |list| handle.members(list, Some(watch));
+            let ended = discovery::watch(discovery, since, patience, news).await;
             if handle.0.borrow().watches != watch {
                 return;
             }
-            crate::log(&format!("discovery: {reason}"));
+            handle.0.borrow_mut().note_lost(&ended);
             handle.run([Event::Members { kind: ListKind::Failed, entries: Vec::new() }]);
-            if pushed {
-                tokio::time::sleep(PUSH_RETRY).await;
+            // Where the list is pushed the module never asks for it.
+            if let Some(pause) = patience.pause {
+                if !ended.opened {
+                    tokio::time::sleep(pause).await;
+                }
                 handle.0.borrow_mut().subscribe(&handle);
             }
         }));
     }
 
+    /// Logs why a watch ended, and of calls that fail one after the other the first.
+    fn note_lost(&mut self, ended: &discovery::Ended) {
+        if ended.opened || !self.watch_lost {
+            crate::log(&format!("discovery: {}", ended.reason));
+        }
+        self.watch_lost = !ended.opened;
+    }
+
     /// The number of a host. What is idle there is of no use once it moves or starts again.
     fn intern(&mut self, entry: &discovery::Host) -> ServerId {
         let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -229,6 +229,13 @@
         discovery
     }
 
+    /// Resets the last watch.
+    pub fn reset(&self) {
+        let watch = self.watch.borrow_mut().take().expect("a watch");
+        socket2::SockRef::from(watch.as_ref()).set_linger(Some(Duration::ZERO)).expect("lingers not");
+        drop(watch);
+    }
+
     /// Whether the other side has closed the last watch.
     pub fn is_left(&self) -> bool {
         let watch = self.watch.borrow();
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -4,6 +4,8 @@
 
 use common::*;
 use std::slice::from_ref;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
 
 const NONE: fn(&mut serde_json::Value) = |config| config["known"]["hosts"] = serde_json::json!([]);
 
@@ -52,13 +54,72 @@
     });
 }
 
-/// A watch whose machine has vanished says nothing for good: without heartbeats it has failed.
+/// A watch whose machine has vanished says nothing for good: without heartbeats it has failed. What it misses counts as
+/// told 6 s after it fell silent, and the next one has to bring it by then, also where the call for it fails twice.
 #[test]
-fn a_silent_watch_is_given_up() {
+fn a_silent_watch_is_replaced_in_time() {
     run(async {
-        let discovery = Discovery::quiet().await;
-        let _proxy = Proxy::with(&discovery, &[], NONE).await;
-        eventually("a second watch", || discovery.asked.borrow().len() == 2).await;
+        let begun = ["", "HTTP/1.1 200 OK\r\nTransfer-Enc", WATCH, &format!("{WATCH}9\r\n{{\"seq\":1")];
+        let cases = ["ask", "push"].into_iter().flat_map(|mode| begun.map(|begun| (mode, begun.to_owned())));
+        let cases: Vec<_> = cases.map(|(mode, begun)| spawn_local(is_replaced(mode, begun))).collect();
+        for case in cases {
+            case.await.expect("replaced in time");
+        }
+    });
+}
+
+async fn is_replaced(mode: &str, begun: String) {
+    let refusal = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let answers = [begun.clone(), refusal.clone(), refusal, WATCH.to_owned()];
+    let discovery = Discovery::start(answers).await;
+    let _proxy = Proxy::with(&discovery, &[], |config| {
+        NONE(config);
+        config["settings"]["discovery"] = mode.into();
+    })
+    .await;
+    eventually("the first watch", || discovery.asked.borrow().len() == 1).await;
+    let silent = Instant::now();
+    eventually("the fourth", || discovery.asked.borrow().len() == 4).await;
+    assert!(silent.elapsed() < Duration::from_millis(4_500), "{mode}, {begun:?}");
+}
+
+/// A proxy of a pushed list with a drain grace of 2 s and one host.
+async fn pushed_to(discovery: &Discovery, host: &Host) -> Proxy {
+    Proxy::with(discovery, from_ref(host), |config| {
+        config["settings"]["discovery"] = "push".into();
+        config["settings"]["invariants"]["drain_grace_us"] = 2_000_000.into();
+    })
+    .await
+}
+
+/// What the agent has counts as told whether or not a watch is open: one that was reset is opened again at once, and
+/// goes on being opened while the agent is away, in less than the drain grace each.
+#[test]
+fn a_watch_of_a_pushed_list_is_back_within_the_drain_grace() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let drains =
+            format!("{WATCH}{}", chunk(&list(42, false, &[entry("s-0", host.address, "Terminating")])));
+        let silence = String::new();
+        let discovery = Discovery::start([WATCH.to_owned(), drains]).await;
+        let proxy = pushed_to(&discovery, &host).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+        let reset = Instant::now();
+        discovery.reset();
+        eventually("its idle connection is closed", || host.open.get() == 0).await;
+        assert!(reset.elapsed() < Duration::from_millis(500), "at once");
+
+        let back = list(42, true, &[entry("s-0", host.address, "Terminating")]);
+        let answers = [silence.clone(), silence.clone(), silence, format!("{WATCH}{}", chunk(&back))];
+        let discovery = Discovery::start(answers).await;
+        let _proxy = pushed_to(&discovery, &host).await;
+        let mut last = Instant::now();
+        for number in 1..=4 {
+            eventually("one more call", || discovery.asked.borrow().len() == number).await;
+            assert!(last.elapsed() < Duration::from_millis(1_200), "call {number}");
+            last = Instant::now();
+        }
     });
 }
 
