Read a list that comes over several lines

Now what a watch brings is cut into objects by their braces, outside strings, wherever it is cut on its way. What begins with anything but a brace ends the watch at once, as does an object over the bound.

--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -22,8 +22,8 @@
 const PAUSE_PART: u32 = 10;
 const PAUSE_LEAST: Duration = Duration::from_millis(10);
 const PAUSE_MOST: Duration = Duration::from_millis(100);
-/// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
-const LINE_MOST: usize = 4 << 20;
+/// Longest object of a watch; a longer one is not a list of any fleet that one proxy serves.
+const OBJECT_MOST: usize = 4 << 20;
 
 /// The whole list of hosts, or the entries that changed.
 #[derive(Clone, Debug, Deserialize)]
@@ -132,7 +132,7 @@
 }
 
 async fn follow(mut body: Incoming, news: &mut impl FnMut(List)) -> BoxError {
-    let mut pending = Vec::new();
+    let mut objects = Objects::default();
     loop {
         let data = match timeout(SILENCE, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -140,20 +140,87 @@
             Ok(None) => return "the watch ended".into(),
             Err(silent) => return silent.into(),
         };
-        for piece in data.split_inclusive(|&byte| byte == b'\n') {
-            if pending.len() + piece.len() > LINE_MOST {
-                return "a line is too long".into();
+        if let Err(reason) = objects.read(&data, news) {
+            return reason;
+        }
+    }
+}
+
+/// Cuts what a watch brings into its objects. They may be cut anywhere on their way, and stand in one line or, indented,
+/// in many.
+#[derive(Debug, Default)]
+struct Objects {
+    /// Of the object that has begun.
+    bytes: Vec<u8>,
+    depth: u32,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    fn read(&mut self, bytes: &[u8], news: &mut impl FnMut(List)) -> Result<(), BoxError> {
+        for &byte in bytes {
+            if self.depth == 0 && byte.is_ascii_whitespace() {
+                continue;
             }
-            pending.extend_from_slice(piece);
-            if piece.ends_with(b"\n") {
-                if !pending.trim_ascii().is_empty() {
-                    match serde_json::from_slice(&pending) {
-                        Ok(list) => news(list),
-                        Err(error) => return error.into(),
-                    }
-                }
-                pending.clear();
+            if self.bytes.len() == OBJECT_MOST {
+                return Err("a list is too long".into());
             }
+            self.bytes.push(byte);
+            self.step(byte);
+            // What begins with anything but a brace is no list, and ends here as well.
+            if self.depth == 0 {
+                news(serde_json::from_slice(&self.bytes)?);
+                self.bytes.clear();
+            }
+        }
+        self.bytes.shrink_to(bytes.len());
+        Ok(())
+    }
+
+    fn step(&mut self, byte: u8) {
+        match byte {
+            _ if std::mem::take(&mut self.escaped) => {}
+            b'\\' => self.escaped = self.quoted,
+            b'"' => self.quoted = !self.quoted,
+            b'{' | b'[' if !self.quoted => self.depth += 1,
+            b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str, piece: usize) -> Result<Vec<(u64, usize)>, String> {
+        let (mut objects, mut lists) = (Objects::default(), Vec::new());
+        for piece in text.as_bytes().chunks(piece) {
+            let mut news = |list: List| lists.push((list.seq, list.hosts.len()));
+            objects.read(piece, &mut news).map_err(|e| e.to_string())?;
+        }
+        Ok(lists)
+    }
+
+    #[test]
+    fn objects_are_read_in_one_line_or_in_many_however_they_are_cut() {
+        let host = r#"{"host":"a}\"{]","dial":"127.0.0.1:1","health":"Ready","more":[{}]}"#;
+        let flat = format!(r#"{{"seq":1,"whole":true,"hosts":[{host},{host}]}}"#);
+        let value: serde_json::Value = serde_json::from_str(&flat).expect("an object");
+        let indented = serde_json::to_string_pretty(&value).expect("text");
+        let text = format!("\n{flat}\n\n{indented}\r\n\n{flat}{indented}\n");
+        for piece in 1..=text.len() {
+            assert_eq!(read(&text, piece), Ok(vec![(1, 2); 4]), "in pieces of {piece}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_is_an_error_at_once() {
+        for text in ["x", "}", "7", "{}", "[{}]", "\"{\"", "{\"seq\":1,\"whole\":true,\"hosts\":7}", "{]"] {
+            assert!(read(text, 1).is_err(), "{text}");
         }
+        assert_eq!(read("{\"seq\":", 3), Ok(Vec::new()), "it may go on");
+        assert!(read(&"[".repeat(OBJECT_MOST + 1), 1 << 16).is_err(), "not for ever");
     }
 }
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -123,6 +123,25 @@
     });
 }
 
+/// Lists may come indented, over several lines.
+#[test]
+fn an_indented_list_is_read() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let flat = list(42, true, &[entry("s-9", host.address, "Ready")]);
+        let value: serde_json::Value = serde_json::from_str(&flat).expect("an object");
+        let indented = serde_json::to_string_pretty(&value).expect("text");
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, &[], NONE).await;
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        let lines: String = indented.lines().map(chunk).collect();
+        discovery.push(&lines).await;
+        let mut client = proxy.client().await;
+        while client.ask(HEALTH).await.status() != 200 {}
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+    });
+}
+
 /// A host that is gone gets nothing more, and idle connections to it are closed; one at its address under
 /// another name is another host.
 #[test]
