Send nothing more of a request whose client has left while it waited

A connection that waited to be accepted was read and its request sent before its end was seen. While a host reads nothing of a body, nobody reads the client's socket at all: the attempt went on until its time was over (the test's own 15 s passed).

At fault: proxy/src/server.rs (Phase::Open was never looked at), proxy/src/requests.rs (nothing asked before the module was told), and Driver::tidy, which took back only what was wholly unwritten: where the settings allow no cancel, a request written in part went on after its client.

--- a/proxy/src/counters.rs
+++ b/proxy/src/counters.rs
@@ -122,7 +122,7 @@
 
     /// A request has been taken, or (without its last byte) begun to come.
     pub fn take(&self, class: ClassId, whole: bool) -> Taken {
-        let mut taken = Taken { counters: self.clone(), class, whole: false };
+        let mut taken = Taken { counters: self.clone(), class, whole: false, ending: Ending::Failed };
         if whole {
             taken.set_whole();
         }
@@ -130,13 +130,14 @@
     }
 }
 
-/// Goes with a request that was taken, until its end. Dropped without one, its client had gone.
+/// Goes with a request that was taken, until its end. Dropped without one, its client had gone: it has failed.
 #[derive(Debug)]
 pub struct Taken {
     counters: Counters,
     class: ClassId,
     /// Its last byte has come: it is pending.
     whole: bool,
+    ending: Ending,
 }
 
 impl Taken {
@@ -148,14 +149,19 @@
     }
 
     /// The request ended so.
-    pub fn end(self, ending: Ending) {
-        self.counters.count().end(self.class, ending);
+    pub fn end(mut self, ending: Ending) {
+        self.set_whole();
+        self.ending = ending;
     }
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.counters.count().pending -= u64::from(self.whole);
+        if self.whole {
+            let mut figures = self.counters.count();
+            figures.pending -= 1;
+            figures.end(self.class, self.ending);
+        }
     }
 }
 
@@ -164,7 +170,7 @@
     use super::*;
 
     #[test]
-    fn a_request_is_pending_until_it_ends_or_its_client_goes() {
+    fn a_request_is_pending_until_it_ends_or_its_client_goes_and_is_counted_once() {
         let counters = Counters::new(2);
         let names = ["a".to_owned(), "b".to_owned()];
         let taken: Vec<Taken> = [0, 1, 1, 1].map(|class| counters.take(ClassId(class), true)).into();
@@ -177,7 +183,7 @@
         let expected = json!({
             "downstream_requests": {
                 "a": {"completed": 1, "rejected": 0, "failed": 0},
-                "b": {"completed": 0, "rejected": 1, "failed": 1},
+                "b": {"completed": 0, "rejected": 1, "failed": 2},
             },
             "upstream_requests": 0, "pending": 0, "members": 3, "members_unavailable": 1,
         });
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -143,10 +143,27 @@
     /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
     /// such an attempt surely never ran.
     fn withdraw(&mut self, id: CallId, events: &mut VecDeque<Event>, unwanted: impl Fn(&Attempt) -> bool) {
+        self.take_back(id, events, Outcome::NotSent, |out| out.meter.written() == 0 && unwanted(out));
+    }
+
+    /// Ends the attempts of a call that is over of which a part is not written yet: nothing more is sent for it. No host
+    /// begins with such an attempt.
+    fn cut_off(&mut self, id: CallId, events: &mut VecDeque<Event>) {
+        self.withdraw(id, events, |_| true);
+        self.take_back(id, events, Outcome::CalledOff, |out| !out.meter.is_whole());
+    }
+
+    fn take_back(
+        &mut self,
+        id: CallId,
+        events: &mut VecDeque<Event>,
+        outcome: Outcome,
+        unwanted: impl Fn(&Attempt) -> bool,
+    ) {
         let closed = self.reply.is_none();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
-            if let Some(out) = out.take_if(|out| out.meter.written() == 0 && unwanted(out)) {
-                events.push_back(ended(id, attempt, Outcome::NotSent, out.sent.elapsed(), closed));
+            if let Some(out) = out.take_if(|out| unwanted(out)) {
+                events.push_back(ended(id, attempt, outcome, out.sent.elapsed(), closed));
             }
         }
     }
@@ -738,7 +755,7 @@
     /// attempts is out.
     fn tidy(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id).filter(|call| call.reply.is_none()) else { return };
-        call.withdraw(id, &mut self.events, |_| true);
+        call.cut_off(id, &mut self.events);
         if call.attempts.iter().all(Option::is_none) {
             if let Some(call) = self.calls.remove(&id) {
                 self.open.remove(&call.id);
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -35,12 +35,12 @@
 pub async fn answer(driver: Handle, request: Request<Incoming>, arrival: Arrival) -> Answer {
     let Arrival { socket, whole_by, doubtful } = arrival;
     let (head, body) = request.into_parts();
-    let upload = Rc::new(Upload::new(body, socket, whole_by));
+    let upload = Rc::new(Upload::new(body, socket.clone(), whole_by));
     let answer = match head.uri.path() {
         _ if doubtful => turned_away(&driver, StatusCode::BAD_REQUEST),
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
-        "/api" => match pass_on(&driver, head, &upload).await {
+        "/api" => match pass_on(&driver, head, &upload, &socket).await {
             Ok(Reply::Served(answer)) => return served(answer),
             Ok(Reply::Refused(after)) => refused(after),
             Ok(Reply::Failed) => plain(StatusCode::BAD_GATEWAY),
@@ -56,7 +56,12 @@
 
 /// Passes a request on and waits for its end. What cannot be used is turned away with a status; the module never sees
 /// it, or sees a client that has gone.
-async fn pass_on(driver: &Handle, head: Parts, upload: &Rc<Upload>) -> Result<Reply, StatusCode> {
+async fn pass_on(
+    driver: &Handle,
+    head: Parts,
+    upload: &Rc<Upload>,
+    socket: &Socket,
+) -> Result<Reply, StatusCode> {
     let usable = usable(driver, &head.method, &head.headers, upload.length() == Some(0));
     let (ask, budget) = usable.ok_or(StatusCode::BAD_REQUEST)?;
     if upload.length().is_some_and(|length| length > BODY_MOST) {
@@ -68,6 +73,10 @@
         () = driver.closed() => return Ok(driver.refuse(ask.class)),
         gathered = upload.gather(&memory) => gathered.map_err(Fault::status)?,
     };
+    // It may have waited to be accepted or read for longer than its client has.
+    if socket.has_left() {
+        return Ok(driver.refuse(ask.class));
+    }
     let budget = budget - WAY_BACK.min(budget / WAY_BACK_PART);
     let deadline = match upload.end() {
         Some(Ok(whole)) => whole + budget,
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -160,7 +160,8 @@
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
             // What has come and was not read may be a whole request.
             Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
-            Phase::Open => false,
+            // Nobody waits for its answer. hyper sees that only where it has read all that came before.
+            Phase::Open => self.socket.is_left(),
         }
     }
 
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -7,12 +7,13 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, ReadBuf};
+use std::task::{ready, Context, Poll, Waker};
+use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -151,10 +152,38 @@
     /// Whether it is open and nothing waits in it to be read, not even its end. This asks the system: what has
     /// come since the stream's task was last polled shows nowhere else.
     pub fn is_quiet(&self) -> bool {
+        self.peek().is_some_and(|peeked| peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock))
+    }
+}
+
+impl Socket {
+    /// Whether the other side is known to have ended its sending, or to have broken the connection, also behind bytes that
+    /// nobody has read: hyper finds an end only when it has read all that came before it.
+    pub fn is_left(&self) -> bool {
         let io = self.0.io.borrow();
+        let Some(io) = io.as_ref() else { return true };
+        // What the system has told of ends stays known until the stream is closed.
+        let ready = pin!(io.inner().ready(Interest::READABLE));
+        match ready.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(ready) => ready.is_ok_and(|ready| ready.is_read_closed()),
+            Poll::Pending => false,
+        }
+    }
+
+    /// The same, and asks the system: its word may not have been heard yet.
+    pub fn has_left(&self) -> bool {
+        let peeked = self.peek();
+        self.is_left()
+            || peeked.is_none_or(|peeked| match peeked {
+                Ok(count) => count == 0,
+                Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            })
+    }
+
+    /// `None`: it is closed.
+    fn peek(&self) -> Option<io::Result<usize>> {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = io.as_ref().map(|io| SockRef::from(io.inner()).peek(&mut byte));
-        peeked.is_some_and(|peeked| peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock))
+        self.0.io.borrow().as_ref().map(|io| SockRef::from(io.inner()).peek(&mut byte))
     }
 }
 
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout};
@@ -331,6 +331,35 @@
     }
 }
 
+/// An address where connections do not come up: the listener's queue of new ones is full.
+pub async fn never_up() -> (Host, Vec<TcpStream>, TcpListener) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("an address");
+    let (mut full, wait) = (Vec::new(), Duration::from_millis(200));
+    while let Ok(Ok(stream)) = timeout(wait, TcpStream::connect(address)).await {
+        full.push(stream);
+    }
+    (Host { address, ..Host::start([ok("")]).await }, full, listener)
+}
+
+/// What a call of an operator gets, up to the close of its connection.
+pub async fn call(admin: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(admin).await.expect("operators are let in");
+    stream.write_all(line.as_bytes()).await.expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+/// The figures that operators are told.
+pub async fn figures(admin: SocketAddr) -> serde_json::Value {
+    let answer = call(admin, "counters\n").await;
+    let json = answer.strip_suffix("\nEOT\n");
+    serde_json::from_str(json.expect("the form of figures")).expect("figures")
+}
+
 pub type Client = Reader<TcpStream>;
 
 pub const HEALTH: &str = "GET /_health HTTP/1.1\r\n\r\n";
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -4,9 +4,6 @@
 
 use common::*;
 use std::slice::from_ref;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
 
 /// A connection costs a host many times a request's overhead. It must be back before the outcome is told:
 /// else the request that the outcome lets go opens another.
@@ -114,19 +111,6 @@
     });
 }
 
-/// An address where connections do not come up: the listener's queue of new ones is full.
-async fn never_up() -> (Host, Vec<TcpStream>, TcpListener) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(0).expect("it listens");
-    let address = listener.local_addr().expect("an address");
-    let (mut full, wait) = (Vec::new(), Duration::from_millis(200));
-    while let Ok(Ok(stream)) = timeout(wait, TcpStream::connect(address)).await {
-        full.push(stream);
-    }
-    (Host { address, ..Host::start([ok("")]).await }, full, listener)
-}
-
 /// A send counts when it is written. One that still waits for its connection when its host is told draining
 /// must not be written there later; it goes elsewhere at once.
 #[test]
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::slice::from_ref;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 const ADMIN: fn(&mut Value) = |config| config["admin"] = "127.0.0.1:0".into();
@@ -21,21 +21,6 @@
     (proxy, admin)
 }
 
-/// What a call gets, up to the close of its connection.
-async fn call(admin: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(admin).await.expect("operators are let in");
-    stream.write_all(line.as_bytes()).await.expect("written");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await.expect("an answer");
-    answer
-}
-
-async fn figures(admin: SocketAddr) -> Value {
-    let answer = call(admin, "counters\n").await;
-    let json = answer.strip_suffix("\nEOT\n");
-    serde_json::from_str(json.expect("the form of figures")).expect("figures")
-}
-
 #[test]
 fn health_is_yes_once_there_is_a_list() {
     run(async {
