End clients' connections by half-closing, and read what still comes

Seen with the_end_of_a_connection_does_not_cross_what_came: a client whose request is unusable and that has sent more behind it got its answer and then a reset (SO_ERROR set), which on a real way destroys an answer not yet read.

Now a connection that hyper ends, or whose time is up, is shut down for sending, read on for 1 s at the most, and closed when the other side has ended. While places are short such connections are the first to give theirs up; one whose client has left is still closed at once.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -19,8 +19,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now, JoinHandle};
-use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, sleep_until, timeout, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
 pub const BACKLOG: u32 = 1_024;
@@ -47,6 +48,8 @@
 const IDLE_LEAST: Duration = Duration::from_secs(2);
 /// A client that means to ask has begun to by now, and has read its last answer.
 const BEGUN: Duration = Duration::from_millis(100);
+/// How long the other side's end is waited for after this side's.
+const LINGER: Duration = Duration::from_secs(1);
 /// How often connections are looked through for those that are due.
 const SWEEP: Duration = Duration::from_millis(50);
 /// Pause after a failure to accept, which descriptors that are set free must end.
@@ -63,10 +66,7 @@
     clients.stop(&listener, Stop { refuse_from: now + REFUSE_AFTER, end: now + longest + STOP_MARGIN });
     clients.accept(&listener, sleep(STOP_DELAY)).await;
     // What the machine has accepted by now has been taken: closing the listener would reset it.
-    while clients.make_room() {
-        let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { break };
-        clients.serve(stream);
-    }
+    clients.accept_rest(&listener).await;
     drop(listener);
     // Whoever sends half a request or does not read its answer is closed in time. What is still being answered is lost
     // if the process ends before it; whoever wants that must kill it.
@@ -84,6 +84,8 @@
     Begun(Instant),
     /// A request is open.
     Open,
+    /// This side has ended its sending, and waits for the other's end.
+    Closing(Instant),
 }
 
 impl Phase {
@@ -91,7 +93,7 @@
     fn whole_by(self, socket: &Socket) -> Instant {
         match self {
             Phase::New(since) | Phase::Begun(since) => since + WHOLE_TIME,
-            Phase::Idle(_) | Phase::Open => socket.read_at() + WHOLE_TIME,
+            Phase::Idle(_) | Phase::Open | Phase::Closing(_) => socket.read_at() + WHOLE_TIME,
         }
     }
 }
@@ -148,20 +150,24 @@
     task: JoinHandle<()>,
     socket: Socket,
     phase: Rc<Cell<Phase>>,
+    /// Tells its task to end it.
+    end: Rc<Notify>,
 }
 
 impl Client {
-    /// Whether its time is up; one with no request open has `idle`.
-    fn is_due(&self, now: Instant, idle: Duration) -> bool {
-        if let Some(stuck) = self.is_stuck(now) {
-            return stuck;
+    /// Whether its time is up.
+    fn is_due(&self, now: Instant, times: Times) -> bool {
+        if self.is_stuck(now).is_some() {
+            return false;
         }
         match self.phase.get() {
+            Phase::New(since) if self.socket.reads() == 0 => {
+                now >= since + times.silent && self.socket.is_quiet() || now >= since + WHOLE_TIME
+            }
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
             // What has come and was not read may be a whole request.
-            Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
-            // Nobody waits for its answer. hyper sees that only where it has read all that came before.
-            Phase::Open => self.socket.is_left(),
+            Phase::Idle(since) => now >= since + times.idle && self.socket.is_quiet(),
+            Phase::Open | Phase::Closing(_) => false,
         }
     }
 
@@ -178,6 +184,7 @@
             return None;
         }
         let (rank, since) = match self.phase.get() {
+            Phase::Closing(since) => return Some((0, since)),
             Phase::New(since) if self.socket.reads() == 0 => (0, since),
             Phase::Idle(since) if now >= since + IDLE_LEAST => (1, since),
             // Those that come back keep theirs before those that have asked once, and may never again.
@@ -192,11 +199,42 @@
         (now >= since + BEGUN && !unread).then_some((rank, since))
     }
 
-    /// Closes it; its descriptor is free when this returns.
+    /// Closes it at once; its descriptor is free when this returns.
     fn close(&self) {
         self.socket.close();
         self.task.abort();
     }
+
+    /// Looks at it once more; whether it is still there.
+    fn look(&self, now: Instant, times: Times) -> bool {
+        if self.task.is_finished() {
+            return false;
+        }
+        if self.is_stuck(now) == Some(true) {
+            log("a client took nothing of its answer for too long: closed");
+            self.close();
+            return false;
+        }
+        match self.phase.get() {
+            // Nobody waits for its answer. hyper sees that only where it has read all that came before.
+            Phase::Open if self.socket.is_left() => self.close(),
+            Phase::Idle(since) if self.socket.read_at() > since => {
+                self.phase.set(Phase::Begun(self.socket.read_at()));
+            }
+            _ if self.is_due(now, times) => self.end.notify_one(),
+            _ => {}
+        }
+        true
+    }
+}
+
+/// How long connections are kept on which nothing is asked.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    /// After a request.
+    idle: Duration,
+    /// On which nothing has come at all.
+    silent: Duration,
 }
 
 /// The connections of clients.
@@ -215,10 +253,15 @@
         let mut until = pin!(until);
         let mut sweeps = interval(SWEEP);
         sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pause = Instant::now();
         loop {
             let room = self.make_room();
+            let accepted = async {
+                sleep_until(pause).await;
+                listener.accept().await
+            };
             tokio::select! {
-                accepted = listener.accept(), if room => match accepted {
+                accepted = accepted, if room => match accepted {
                     Ok((stream, _)) => {
                         self.serve(stream);
                         // Those that ask at once are known from those that say nothing only when they are read.
@@ -227,7 +270,7 @@
                     Err(error) => {
                         log(&format!("accept: {error}"));
                         self.evict();
-                        sleep(ACCEPT_PAUSE).await;
+                        pause = Instant::now() + ACCEPT_PAUSE;
                     }
                 },
                 _ = sweeps.tick() => self.sweep(),
@@ -236,6 +279,19 @@
         }
     }
 
+    /// Takes what has already come.
+    async fn accept_rest(&mut self, listener: &TcpListener) {
+        loop {
+            if !self.make_room() {
+                sleep(SWEEP).await;
+                self.sweep();
+                continue;
+            }
+            let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { return };
+            self.serve(stream);
+        }
+    }
+
     /// The process is to end: clients are led to its successor, if there is one.
     fn stop(&self, listener: &TcpListener, stop: Stop) {
         self.stopping.set(true);
@@ -280,28 +336,14 @@
     /// Closes what is due, and notes whose next request has begun to come.
     fn sweep(&mut self) {
         let now = Instant::now();
-        let idle = match (self.stopping.get(), self.crowded.get()) {
-            // What comes now is better off at the successor, which has the time for a long answer.
-            (true, _) => Duration::ZERO,
-            (false, true) => IDLE_LEAST,
-            (false, false) => IDLE_MOST,
+        let times = match (self.stopping.get(), self.crowded.get()) {
+            // What comes now is better off at the successor, which has the time for a long answer. What would come on a
+            // silent connection is refused by then.
+            (true, _) => Times { idle: Duration::ZERO, silent: REFUSE_AFTER },
+            (false, true) => Times { idle: IDLE_LEAST, silent: WHOLE_TIME },
+            (false, false) => Times { idle: IDLE_MOST, silent: WHOLE_TIME },
         };
-        self.open.retain(|client| {
-            if let Phase::Idle(since) = client.phase.get() {
-                let read_at = client.socket.read_at();
-                if read_at > since {
-                    client.phase.set(Phase::Begun(read_at));
-                }
-            }
-            let due = client.is_due(now, idle);
-            if due {
-                if client.is_stuck(now).is_some() {
-                    log("a client took nothing of its answer for too long: closed");
-                }
-                client.close();
-            }
-            !due && !client.task.is_finished()
-        });
+        self.open.retain(|client| client.look(now, times));
         self.open.shrink_to(2 * self.open.len());
     }
 
@@ -337,13 +379,18 @@
             .header_read_timeout(None)
             .max_buf_size(HEAD_MOST)
             .serve_connection(socket.clone(), service);
+        let (ending, closing, last) = (Rc::new(Notify::new()), socket.clone(), phase.clone());
+        let ended = ending.clone();
         let task = spawn_local(async move {
-            // A connection that breaks ends its request's waiting, which tells the module.
-            if let Err(e) = connection.await {
-                crate::log(&format!("DEBUG conn {e:?}"));
+            tokio::select! {
+                // One that breaks ends its request's waiting, which tells the module.
+                _ = connection => {}
+                () = ended.notified() => {}
             }
+            last.set(Phase::Closing(Instant::now()));
+            closing.linger(LINGER).await;
         });
-        self.open.push(Client { task, socket, phase });
+        self.open.push(Client { task, socket, phase, end: ending });
     }
 }
 
@@ -361,13 +408,15 @@
         let (far, near) = tokio::join!(TcpStream::connect(address), listener.accept());
         let mut socket = Socket::of_client(near.expect("accepted").0);
         let since = Instant::now() - IDLE_MOST;
-        let (task, phase) = (tokio::spawn(async {}), Rc::new(Cell::new(Phase::Idle(since))));
-        let client = Client { task, socket: socket.clone(), phase };
-        assert!(client.is_due(Instant::now(), IDLE_LEAST) && client.spare(Instant::now()).is_some());
+        let (task, phase) = (tokio::spawn(std::future::pending()), Rc::new(Cell::new(Phase::Idle(since))));
+        let client = Client { task, socket: socket.clone(), phase, end: Rc::default() };
+        let times = Times { idle: IDLE_LEAST, silent: WHOLE_TIME };
+        assert!(client.is_due(Instant::now(), times) && client.spare(Instant::now()).is_some());
         let mut context = Context::from_waker(Waker::noop());
         while Pin::new(&mut socket).poll_write(&mut context, &[0; 1 << 16]).is_ready() {}
-        assert!(!client.is_due(Instant::now(), IDLE_LEAST) && client.spare(Instant::now()).is_none());
-        assert!(client.is_due(Instant::now() + BLOCKED_MOST, IDLE_LEAST), "not for good");
+        assert!(!client.is_due(Instant::now(), times) && client.spare(Instant::now()).is_none());
+        assert!(client.look(Instant::now(), times));
+        assert!(!client.look(Instant::now() + BLOCKED_MOST, times), "not for good");
         drop(far);
     }
 }
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -7,15 +7,16 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// Most bytes of a client that are read at once.
 const PIECE_MOST: usize = 16 << 10;
@@ -180,6 +181,27 @@
             })
     }
 
+    /// Ends the sending and reads what still comes, until the other side ends too, for so long at the most. Closed on bytes
+    /// that nobody has read, the connection would be reset, and an answer on its way be lost with it.
+    pub async fn linger(mut self, most: Duration) {
+        let ended = async {
+            let shutdown = poll_fn(|context| Pin::new(&mut self).poll_shutdown(context)).await;
+            while shutdown.is_ok() && poll_fn(|context| self.poll_discard(context)).await.is_ok_and(|n| n > 0)
+            {
+            }
+        };
+        let _ = timeout(most, ended).await;
+    }
+
+    fn poll_discard(&self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut io = self.0.io.borrow_mut();
+        let Some(io) = io.as_mut() else { return Poll::Ready(Ok(0)) };
+        let mut bytes = [0; PIECE_MOST];
+        let mut piece = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(io.inner_mut()).poll_read(context, &mut piece))?;
+        Poll::Ready(Ok(piece.filled().len()))
+    }
+
     /// `None`: it is closed.
     fn peek(&self) -> Option<io::Result<usize>> {
         let mut byte = [MaybeUninit::uninit()];
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -4,8 +4,8 @@
 
 use common::*;
 use std::slice::from_ref;
-use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -65,6 +65,93 @@
     });
 }
 
+/// A call that is held waits for as long as its client does, but not for longer than the process has: the longest deadline,
+/// or 3 s where it is longer, and 0.6 s of the 0.7 s that come before it is killed.
+#[test]
+fn a_stop_ends_what_is_held() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let draining = list(42, true, &[entry("s-0", host.address, "Terminating")]);
+        let discovery = Discovery::start([format!("{WATCH}{}", chunk(&draining))]).await;
+        let mut proxy = Proxy::with(&discovery, &[], |config| {
+            config["settings"]["classes"][2]["deadline_us"] = 20_000_000.into();
+            config["settings"]["classes"][2]["late_value"] = 0.5.into();
+        })
+        .await;
+        let mut held = proxy.client().await;
+        held.send(&request("unsafe", "", "").replace("8000", "20000")).await;
+        // Sent later and answered: the proxy has read the request before.
+        while proxy.client().await.ask(HEALTH).await.status() != 200 {}
+        let told = Instant::now();
+        drop(proxy.stop.take());
+        let answer = held.message().await.expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+        assert!(told.elapsed() < Duration::from_millis(3_700));
+        assert_eq!(host.count(), 0);
+        (&mut proxy.task).await.expect("it ends without a panic").expect("it listened");
+    });
+}
+
+/// What is unread when a connection ends must not reset it: the answer before may still be on its way.
+#[test]
+fn the_end_of_a_connection_does_not_cross_what_came() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let mut proxy = Proxy::start(from_ref(&host)).await;
+        assert_eq!(proxy.client().await.ask(HEALTH).await.status(), 200);
+        let behind = "x".repeat(300_000);
+        let mut clients = Vec::new();
+        for text in [request("unheard-of", "", ""), "GET nowhere at all\r\n\r\n".to_owned()] {
+            let stream = std::net::TcpStream::connect(proxy.address).expect("connected");
+            std::io::Write::write_all(&mut &stream, format!("{text}{behind}").as_bytes()).expect("written");
+            stream.set_nonblocking(true).expect("nonblocking");
+            clients.push(Reader::new(TcpStream::from_std(stream).expect("a stream")));
+        }
+        for client in &clients {
+            client.stream.readable().await.expect("it is answered");
+        }
+        drop(proxy.stop.take());
+        (&mut proxy.task).await.expect("it ends without a panic").expect("it listened");
+        for client in &mut clients {
+            assert!(client.stream.take_error().expect("a state").is_none(), "it is reset");
+            assert_eq!(client.message().await.expect("an answer").status(), 400);
+            assert_eq!(client.stream.read(&mut [0]).await.expect("an end"), 0);
+        }
+    });
+}
+
+/// A process that waits for its first list has taken nothing: it ends at once, also beside another that serves.
+#[test]
+fn a_stop_before_the_first_list_ends_the_process() {
+    run(async {
+        for beside in [false, true] {
+            let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("unlisted-{beside}"));
+            std::fs::create_dir_all(&folder).expect("a folder");
+            let other = match beside {
+                true => Some(nettleworks::handover::show_presence(&folder, |_| ()).await.expect("shown")),
+                false => None,
+            };
+            let discovery = Discovery::quiet().await;
+            let config = configuration(discovery.address, &[], |_| ());
+            let config = nettleworks::config::Config::parse(&config).expect("a good configuration");
+            let clients = nettleworks::handover::bind(config.listen).expect("bound");
+            let listeners = nettleworks::Listeners { clients, operators: None };
+            let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            let run = nettleworks::run(config, listeners, Some(folder), async || None, stopped);
+            let task = spawn_local(run);
+            eventually("it asks for a list", || !discovery.asked.borrow().is_empty()).await;
+            let told = Instant::now();
+            drop(stop);
+            task.await.expect("no panic").expect("no error");
+            assert!(told.elapsed() < Duration::from_secs(1), "beside another: {beside}");
+            drop(other);
+        }
+    });
+}
+
 /// A proxy that was killed leaves connections at its address; the next one must start there at once.
 #[test]
 fn the_address_can_be_used_again_at_once() {
