Tell the module by when the proxy ends, so that held calls end before

At fault: Handle::stop (proxy/src/driver.rs) shortened the deadlines of its own calls only. The module went on with the clients' own: a call held without an attempt out (no server listed as ready, or all in a pause) left the hold when a usual answer would have missed its aim, which for a class with worth after its aim, or a long aim, is after SIGKILL.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -576,6 +576,9 @@
         driver.stop = Some(stop);
         driver.calls.values_mut().for_each(|call| call.deadline = call.deadline.min(stop.end));
         driver.stopped.notify_waiters();
+        drop(driver);
+        let time_left = stop.end.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        self.run([Event::Ending { time_left }]);
     }
 
     /// Returns when requests that are not whole are no longer waited for: long answers to them might be cut off.
--- a/src/api.rs
+++ b/src/api.rs
@@ -306,6 +306,11 @@
         /// How long the client waits from here.
         time_left: Micros,
     },
+    /// The proxy is to end: no call that it has waits for longer than this.
+    Ending {
+        /// From now.
+        time_left: Micros,
+    },
     /// An attempt is over.
     Outcome {
         /// Of which call.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -164,6 +164,7 @@
                 }
             }
             Event::Uploaded { call, time_left } => self.uploaded(now, call, time_left),
+            Event::Ending { time_left } => self.hurry(now, now.saturating_add(time_left)),
             Event::Streaming { call, attempt } => {
                 // The client has its answer: nothing more is owed.
                 self.end(call);
@@ -262,6 +263,16 @@
         self.begin_work(now, &attempt);
     }
 
+    /// No call may wait for longer than `last`, held ones included.
+    fn hurry(&mut self, now: Micros, last: Micros) {
+        let mut late = Vec::new();
+        for (&id, call) in self.calls.iter_mut().filter(|(_, call)| call.deadline > last) {
+            call.deadline = last;
+            late.extend(call.held.then_some(id));
+        }
+        late.into_iter().for_each(|id| self.set_way_out(now, id));
+    }
+
     /// From here on a server is taken to work on an attempt.
     fn begin_work(&mut self, now: Micros, attempt: &Attempt) {
         if let Ok(place) = self.servers.binary_search_by_key(&attempt.server, |s| s.id) {
@@ -329,12 +340,17 @@
     fn enqueue(&mut self, now: Micros, id: CallId, again: bool) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.held = true;
-        // Its way out: when a usual answer could not come in time, and always before the client gives up.
+        self.set_way_out(now, id);
+        self.hold.insert(if again { 0 } else { self.hold.len() }, id);
+    }
+
+    /// A call leaves the hold when a usual answer could not come in time, always before its client gives up.
+    fn set_way_out(&mut self, now: Micros, id: CallId) {
+        let call = &self.calls[&id];
         let (class_id, aim, last) =
             (call.class_id, call.class.aim, call.deadline.saturating_sub(self.settings.tick));
         let wake = call.aim_at().saturating_sub(self.usual(class_id, aim) as Micros).max(now + 1);
         self.set_wake(id, wake.min(last.max(now)).max(1));
-        self.hold.insert(if again { 0 } else { self.hold.len() }, id);
     }
 
     /// Notes an attempt's end; late, double and unknown ones change nothing.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -40,6 +40,24 @@
     }
 }
 
+/// A proxy that ends takes its held calls with it: they get their answers before, whatever their clients' time.
+#[test]
+fn held_calls_are_ended_before_their_proxy_ends() {
+    for late_value in [0.0, 0.5] {
+        let mut settings = settings(Repeat::Free);
+        settings.classes[0] = Class { aim: 1_100 * MS, late_value, ..settings.classes[0] };
+        let mut proxy = Proxy::new(settings, 0);
+        let (call, _) = proxy.call();
+        let mut actions = proxy.event(Event::Ending { time_left: 100 * MS });
+        while !refused(&actions, call) {
+            let after =
+                actions.iter().find_map(|a| if let Action::Wake { after } = a { Some(*after) } else { None });
+            actions = proxy.wait(after.expect("a timer for the held call"));
+        }
+        assert!(proxy.now < 1_000_000 + 100 * MS);
+    }
+}
+
 // No duplicated effect.
 
 const CODES: [Outcome; 8] = [
