End at once on SIGTERM while there is no list of servers yet

At fault: run (proxy/src/lib.rs) looked at the order to stop only once it served; before, it waited up to 2 s for the first list, and beside another process for as long as that lived, so that only SIGKILL ended it. Nothing has been taken by then. a_stop_before_the_first_list_ends_the_process fails without the mend, alone and beside another.

--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 use std::future::Future;
 use std::io::{self, Write};
 use std::path::PathBuf;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -69,9 +70,13 @@
     };
     let _presence = folder.map(|folder| upstream::spawn(share(folder, driver.clone())));
     let serving = async {
-        // A client that connects before there is a list could only be turned away, and one of a process that is to be
-        // replaced would have been served there.
-        while timeout(LIST_WAIT, driver.listed()).await.is_err() && driver.config().processes > 1 {}
+        let mut stop = pin!(stop);
+        tokio::select! {
+            biased;
+            // Nothing has been taken.
+            () = &mut stop => return Ok(()),
+            () = may_listen(&driver) => {}
+        }
         server::serve(listeners.clients.listen(server::BACKLOG)?, driver.clone(), stop).await;
         driver.log_counts();
         Ok(())
@@ -84,6 +89,12 @@
     ended
 }
 
+/// Returns when clients can be taken. One that connects before there is a list could only be turned away, and one of a
+/// process that is to be replaced would have been served there.
+async fn may_listen(driver: &driver::Handle) {
+    while timeout(LIST_WAIT, driver.listed()).await.is_err() && driver.config().processes > 1 {}
+}
+
 /// Shares the limits with another process of the program for as long as there is one.
 async fn share(folder: PathBuf, driver: driver::Handle) {
     let shared = |shared| {
