Look at a server's connection once more as the first byte is written

From reading the idle connections for checks gone stale when used: Driver::send looks whether anything has come on a kept connection, but the request is written by another task, after all that the loop has to do in between. A server's end, or a second answer some milliseconds behind the first, that comes in that time was written behind: the second answer is taken for the new request's, and after an end nobody knows whether it ran, so a class that is unsafe to repeat fails. At fault: Socket::poll_write (proxy/src/socket.rs) had no look of its own. Now the first byte of an attempt is not written behind anything that has come; nothing is written then, and another connection is opened.

--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -144,6 +144,9 @@
     let Terms { payload, meter, memory, back } = terms;
     connection.socket.count(meter);
     let (kept, started) = (connection.reads > 0, Instant::now());
+    if kept {
+        connection.socket.guard();
+    }
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if !meter.is_whole() && payload.upload().is_none_or(|upload| !upload.is_spent()) => {
