Let nothing be written of an attempt that was told to have never run

At fault: Call::withdraw (proxy/src/driver.rs) goes by the bytes written so far and ends the attempt by dropping its task's handle. An aborted task is dropped only when the runtime comes to it, and its connection is another task of its own: where the request had been handed to that one, it was written after NotSent had been told. All it takes is a list in the same turn of the loop as the request. Now the attempt's meter is barred as it is taken back or called off, and its socket writes no more under it.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -163,6 +163,7 @@
         let closed = self.reply.is_none();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
             if let Some(out) = out.take_if(|out| unwanted(out)) {
+                out.meter.bar();
                 events.push_back(ended(id, attempt, outcome, out.sent.elapsed(), closed));
             }
         }
@@ -744,6 +745,7 @@
     fn cancel(&mut self, id: CallId, attempt: u32) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        out.meter.bar();
         let closed = call.reply.is_none();
         self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
         self.tidy(id);
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -26,6 +26,7 @@
     bytes: Cell<usize>,
     ended: Cell<bool>,
     whole: Cell<bool>,
+    barred: Cell<bool>,
     counters: Counters,
 }
 
@@ -49,6 +50,11 @@
         self.0.ended.set(true);
     }
 
+    /// Nothing more of the attempt is written from here on: the tasks that have it at hand may still come to their turns.
+    pub fn bar(&self) {
+        self.0.barred.set(true);
+    }
+
     /// What was written broke off before its end: all of it is written again.
     pub fn restart(&self) {
         self.0.bytes.set(0);
@@ -131,7 +137,8 @@
     }
 
     fn may_write(&self) -> io::Result<()> {
-        match self.0.guarded.replace(false) && !self.is_quiet() {
+        let barred = self.0.meter.borrow().0.barred.get();
+        match barred || self.0.guarded.replace(false) && !self.is_quiet() {
             true => Err(io::ErrorKind::ConnectionAborted.into()),
             false => Ok(()),
         }
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -136,6 +136,27 @@
     });
 }
 
+/// What has been taken back is told to have never run: it must not be written by a task that already has it at hand.
+#[test]
+fn what_is_withdrawn_while_it_is_handed_on_is_not_written() {
+    run(async {
+        let (leaving, other) = (Host::start([ok("leaving")]).await, Host::start([ok("other")]).await);
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&leaving), |_| ()).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"leaving");
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        let hosts = [entry("s-0", leaving.address, "Terminating"), entry("s-1", other.address, "Ready")];
+        let list = chunk(&list(42, false, &hosts));
+        // Both come in one turn of the proxy's loop, the request first: it is given to its connection's task, which
+        // comes to its turn only after the list.
+        client.send(&request("unsafe", "", "")).await;
+        discovery.push(&list).await;
+        assert_eq!(client.message().await.expect("an answer").body, b"other");
+        assert_eq!((leaving.count(), other.count()), (1, 1));
+    });
+}
+
 /// Nothing is sent for a call that is over, also where the site does not let attempts be called off: one that
 /// still waits for its connection must not be written once that comes up.
 #[test]
