Look at a server's connection once more as the first byte is written

From reading the idle connections for checks gone stale when used: Driver::send looks whether anything has come on a kept connection, but the request is written by another task, after all that the loop has to do in between. A server's end, or a second answer some milliseconds behind the first, that comes in that time was written behind: the second answer is taken for the new request's, and after an end nobody knows whether it ran, so a class that is unsafe to repeat fails. At fault: Socket::poll_write (proxy/src/socket.rs) had no look of its own. Now the first byte of an attempt is not written behind anything that has come; nothing is written then, and another connection is opened.

In the same place: bytes of an attempt that a broken connection had taken in part counted towards the next one, so that a flush before its first byte would have called it whole (Meter::restart); and of an answer that is there in the instant its attempt's time ends, tokio's select drew at random (Driver's attempt is biased now).

Tests: nothing_is_written_behind_what_has_come_since_the_connection_was_chosen and an_attempt_is_not_whole_by_what_another_connection_took fail without the mends; the order of the select is a matter of one instant and has no test.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -487,6 +487,8 @@
             }
         };
         let end = tokio::select! {
+            // An answer that is there in the last instant is passed on.
+            biased;
             end = self.exchange(sending, kept) => end,
             () = expired => match meter.is_whole() {
                 true => End::without_answer(Outcome::TimedOut),
@@ -517,6 +519,7 @@
             if let Some(end) = end {
                 return end;
             }
+            meter.restart();
         }
         // It has not been written whole yet, so this is no second sending.
         let Some(slot) = self.0.borrow_mut().slot() else {
--- a/proxy/src/socket.rs
+++ b/proxy/src/socket.rs
@@ -49,6 +49,11 @@
         self.0.ended.set(true);
     }
 
+    /// What was written broke off before its end: all of it is written again.
+    pub fn restart(&self) {
+        self.0.bytes.set(0);
+    }
+
     fn wrote(&self, bytes: usize) {
         self.0.bytes.set(self.0.bytes.get() + bytes);
     }
@@ -72,6 +77,8 @@
     io: RefCell<Option<TokioIo<TcpStream>>>,
     /// Where the bytes of the attempt that has the connection now are counted.
     meter: RefCell<Meter>,
+    /// Nothing of that attempt has been written yet.
+    fresh: Cell<bool>,
     reads: Cell<u64>,
     read_at: Cell<Instant>,
     /// Since when the other side takes nothing of what there is to write.
@@ -99,6 +106,7 @@
         Socket(Rc::new(Inner {
             io: RefCell::new(Some(TokioIo::new(stream))),
             meter: RefCell::default(),
+            fresh: Cell::new(false),
             reads: Cell::new(0),
             read_at: Cell::new(Instant::now()),
             blocked: Cell::new(None),
@@ -111,9 +119,18 @@
         self.0.io.borrow_mut().take();
     }
 
-    /// From here on, written bytes are counted here.
+    /// From here on, written bytes are counted here. The first of them is not written if something has come before it, an
+    /// end or what would be taken for its answer: however long ago that was looked for, the last look is the writing's own.
     pub fn count(&self, meter: &Meter) {
         self.0.meter.replace(meter.clone());
+        self.0.fresh.set(true);
+    }
+
+    fn may_write(&self) -> io::Result<()> {
+        match self.0.fresh.replace(false) && !self.is_quiet() {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
     }
 
     /// How often something was read, its end included.
@@ -248,6 +265,7 @@
 
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.may_write()?;
         let mut io = self.0.io.borrow_mut();
         let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         self.wrote(Pin::new(io).poll_write(context, bytes))
@@ -263,6 +281,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.may_write()?;
         let mut io = self.0.io.borrow_mut();
         let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         self.wrote(Pin::new(io).poll_write_vectored(context, slices))
@@ -287,18 +306,20 @@
     use super::*;
     use std::io::Write as _;
 
-    /// Bytes behind an answer may come once its connection is idle, and no task has been polled since: they must
-    /// be seen all the same, else they are taken for the next answer.
-    #[test]
-    fn what_has_come_shows_without_being_polled_for() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    fn pair() -> (Socket, std::net::TcpStream) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let near =
             std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
-        let (mut far, _) = listener.accept().expect("accepted");
+        let (far, _) = listener.accept().expect("accepted");
         near.set_nonblocking(true).expect("nonblocking");
-        let _inside = runtime.enter();
-        let socket = Socket::new(TcpStream::from_std(near).expect("a stream"));
+        (Socket::new(TcpStream::from_std(near).expect("a stream")), far)
+    }
+
+    /// Bytes behind an answer may come once its connection is idle, and no task has been polled since: they must
+    /// be seen all the same, else they are taken for the next answer.
+    #[tokio::test]
+    async fn what_has_come_shows_without_being_polled_for() {
+        let (socket, mut far) = pair();
         assert!(socket.is_quiet());
         far.write_all(b"x").expect("written");
         assert!(!socket.is_quiet());
@@ -308,4 +329,49 @@
             std::io::Read::read(&mut far, &mut [0]).is_ok_and(|n| n == 0) || far.write_all(b"y").is_err()
         );
     }
+
+    /// A second answer or the end may come after the connection was chosen and before the request is written: the bytes
+    /// would be taken for its answer, and whether it ran would not be known.
+    #[tokio::test]
+    async fn nothing_is_written_behind_what_has_come_since_the_connection_was_chosen() {
+        for second in [Some(b"HTTP/1.1 200 OK\r\n\r\n"), None] {
+            let ((mut socket, mut far), meter) = (pair(), Meter::default());
+            socket.count(&meter);
+            assert!(socket.is_quiet(), "chosen");
+            match second {
+                Some(bytes) => far.write_all(bytes).expect("written"),
+                None => far.shutdown(std::net::Shutdown::Write).expect("ended"),
+            }
+            let write = poll_fn(|context| Pin::new(&mut socket).poll_write(context, b"GET"));
+            assert!(write.await.is_err());
+            assert_eq!(meter.written(), 0);
+        }
+    }
+
+    /// Of an attempt that is looked at while it is written, only the first byte is held back by what has come.
+    #[tokio::test]
+    async fn what_comes_while_a_request_is_written_does_not_stop_it() {
+        let ((mut socket, mut far), meter) = (pair(), Meter::default());
+        socket.count(&meter);
+        for part in ["POST", "body"] {
+            let write = poll_fn(|context| Pin::new(&mut socket).poll_write(context, part.as_bytes()));
+            assert_eq!(write.await.expect("written"), 4);
+            far.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").expect("written");
+        }
+        assert_eq!(meter.written(), 8);
+    }
+
+    /// A part that was written on a connection that broke is no part of what is written on the next.
+    #[tokio::test]
+    async fn an_attempt_is_not_whole_by_what_another_connection_took() {
+        let ((mut first, _far), (mut second, _other), meter) = (pair(), pair(), Meter::default());
+        first.count(&meter);
+        let write = poll_fn(|context| Pin::new(&mut first).poll_write(context, b"GET"));
+        assert_eq!(write.await.expect("written"), 3);
+        meter.set_ended();
+        meter.restart();
+        second.count(&meter);
+        poll_fn(|context| Pin::new(&mut second).poll_flush(context)).await.expect("flushed");
+        assert!(!meter.is_whole());
+    }
 }
