--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -163,6 +163,7 @@
         let closed = self.reply.is_none();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
             if let Some(out) = out.take_if(|out| unwanted(out)) {
+                out.meter.bar();
                 events.push_back(ended(id, attempt, outcome, out.sent.elapsed(), closed));
             }
         }
@@ -487,6 +488,8 @@
             }
         };
         let end = tokio::select! {
+            // An answer that is there in the last instant is passed on.
+            biased;
             end = self.exchange(sending, kept) => end,
             () = expired => match meter.is_whole() {
                 true => End::without_answer(Outcome::TimedOut),
@@ -517,6 +520,7 @@
             if let Some(end) = end {
                 return end;
             }
+            meter.restart();
         }
         // It has not been written whole yet, so this is no second sending.
         let Some(slot) = self.0.borrow_mut().slot() else {
@@ -741,6 +745,7 @@
     fn cancel(&mut self, id: CallId, attempt: u32) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        out.meter.bar();
         let closed = call.reply.is_none();
         self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
         self.tidy(id);
