Ask again soon for a list whose watch was open and fell silent

From adding up the waits where a list is asked for: silence shows after 3 s, and what the watch missed counts as told 6 s after it began, and the drain grace. At fault: Balancer::members (src/balance.rs) took the end of an open watch for a call that had failed.

Now the driver tells the two apart (ListKind::Lost, after a watch of 3 s or more), and the module asks again after a 64th of ask_every at random, 0.08 to 0.23 s. Calls that fail are spaced as before, as they keep discovery busy.

Where lists are pushed a watch that ends as soon as it is open, or brings what cannot be read, was opened again without any pause since the last change there; it has the same pause as a call that failed now.

Tests: a_subscription_that_was_open_is_asked_for_again_soon, and a_watch_that_ends_at_once_is_opened_again_with_a_pause, which fails without it.

--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A heartbeat comes every 2 s: a watch that is silent for one and a half of them is taken for dead. What it misses counts
 /// as told 6 s after it fell silent, so half of that is left for opening it anew.
@@ -98,8 +98,16 @@
 pub struct Ended {
     /// The connection broke or ended, the answer was not 200, what came was no list, or nothing came for too long.
     pub reason: BoxError,
-    /// It had been open: it is worth opening again at once.
-    pub opened: bool,
+    /// How long it had been open; `None`: it never was.
+    pub lasted: Option<Duration>,
+}
+
+impl Ended {
+    /// Whether it had been of use for so long that another is worth opening at once; one that ends as soon as it is open
+    /// may do so again.
+    pub fn was_of_use(&self) -> bool {
+        self.lasted.is_some_and(|lasted| lasted >= SILENCE)
+    }
 }
 
 /// Watches the list from version `since` on and passes on what comes, until the watch ends.
@@ -111,8 +119,12 @@
 ) -> Ended {
     let opening = async { timeout(patience.answer, open(discovery, since)).await? };
     match opening.await {
-        Ok((body, _connection)) => Ended { reason: follow(body, &mut news).await, opened: true },
-        Err(reason) => Ended { reason, opened: false },
+        Ok((body, _connection)) => {
+            let opened = Instant::now();
+            let reason = follow(body, &mut news).await;
+            Ended { reason, lasted: Some(opened.elapsed()) }
+        }
+        Err(reason) => Ended { reason, lasted: None },
     }
 }
 
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -789,12 +789,11 @@
                 return;
             }
             handle.0.borrow_mut().note_lost(&ended);
-            handle.run([Event::Members { kind: ListKind::Failed, entries: Vec::new() }]);
+            let kind = if ended.was_of_use() { ListKind::Lost } else { ListKind::Failed };
+            handle.run([Event::Members { kind, entries: Vec::new() }]);
             // Where the list is pushed the module never asks for it.
             if let Some(pause) = patience.pause {
-                if !ended.opened {
-                    tokio::time::sleep(pause).await;
-                }
+                tokio::time::sleep(pause.saturating_sub(ended.lasted.unwrap_or_default())).await;
                 handle.0.borrow_mut().subscribe(&handle);
             }
         }));
@@ -802,10 +801,10 @@
 
     /// Logs why a watch ended, and of calls that fail one after the other the first.
     fn note_lost(&mut self, ended: &discovery::Ended) {
-        if ended.opened || !self.watch_lost {
+        if ended.lasted.is_some() || !self.watch_lost {
             crate::log(&format!("discovery: {}", ended.reason));
         }
-        self.watch_lost = !ended.opened;
+        self.watch_lost = ended.lasted.is_none();
     }
 
     /// The number of a host. What is idle there is of no use once it moves or starts again.
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -123,6 +123,21 @@
     });
 }
 
+/// One that ends as soon as it is open, or brings what is no list, is not opened again without a pause (0.1 s here).
+#[test]
+fn a_watch_that_ends_at_once_is_opened_again_with_a_pause() {
+    run(async {
+        for answer in [format!("{WATCH}0\r\n\r\n"), format!("{WATCH}{}", chunk("no list"))] {
+            let discovery = Discovery::start(vec![answer; 20]).await;
+            let host = Host::start([ok("served")]).await;
+            let start = Instant::now();
+            let _proxy = pushed_to(&discovery, &host).await;
+            eventually("five calls", || discovery.asked.borrow().len() >= 5).await;
+            assert!(start.elapsed() >= Duration::from_millis(400));
+        }
+    });
+}
+
 /// Lists may come indented, over several lines.
 #[test]
 fn an_indented_list_is_read() {
--- a/src/api.rs
+++ b/src/api.rs
@@ -215,6 +215,8 @@
     Cached,
     /// None: asking failed or the subscription broke.
     Failed,
+    /// None: the subscription, which had been open, broke or fell silent.
+    Lost,
 }
 
 /// How an attempt ended.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,9 @@
 const COLD_PART: f64 = 1.0 / 3.0;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
+/// Part of the longest time without asking after which a subscription that was open is asked for again: what
+/// it misses counts as told some seconds after it fell silent, half of which are gone when that is noticed.
+const RESUME_PART: Micros = 64;
 /// Doublings of the rounds of calls for which a server is left to itself by one of very many balancers, over
 /// those of its backoff: the trials of all of them can be as much as a server that has slowed down can do.
 const REST_DOUBLINGS: u32 = 2;
@@ -203,15 +206,16 @@
     // The list.
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Lost {
+            self.ask_again(now, self.settings.rules.ask_every / RESUME_PART);
+            return;
+        }
         if kind == ListKind::Failed {
-            // Jitter keeps balancers that lost the list together from asking together again.
             // Very many that ask again soon keep discovery busy with calls that fail: hardly one gets a list.
             let (part, doublings) = if self.pool.is_some() { (4, 2) } else { (32, 3) };
             let wait = (self.settings.rules.ask_every / part) << self.ask_failures.min(doublings);
             self.ask_failures += 1;
-            if self.settings.ask {
-                self.ask_at = now + wait / 2 + self.below(wait);
-            }
+            self.ask_again(now, wait);
             return;
         }
         self.ask_failures *= u32::from(kind == ListKind::Cached);
@@ -240,6 +244,13 @@
         self.count();
     }
 
+    /// Jitter keeps balancers that lost the list together from asking together again.
+    fn ask_again(&mut self, now: Micros, wait: Micros) {
+        if self.settings.ask {
+            self.ask_at = now + wait / 2 + self.below(wait);
+        }
+    }
+
     fn request(&mut self, now: Micros, id: CallId, class: ClassId, left: Micros) {
         // A class that the settings do not name is unsafe and wanted while the client waits.
         let unknown = Class { aim: left, deadline: left, ..Class::default() };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -183,6 +183,24 @@
     assert!(few[0] < every / 16, "a few do not crowd it: {few:?}");
 }
 
+/// What a subscription misses that fell silent counts as told 6 s after that, 3 s of which go by until it is noticed.
+#[test]
+fn a_subscription_that_was_open_is_asked_for_again_soon() {
+    for balancers in [5, 100] {
+        let mut proxy = Proxy::new(Settings { balancers, ask: true, ..settings(Repeat::Free) }, 60);
+        let every = settings(Repeat::Free).rules.ask_every;
+        for _ in 0..10 {
+            let lost = proxy.now;
+            let actions = proxy.list(ListKind::Lost, Vec::new());
+            assert!(!actions.contains(&Action::Subscribe), "not all at once");
+            while !proxy.wait(10 * MS).contains(&Action::Subscribe) {
+                assert!(proxy.now < lost + every / 32, "{balancers} balancers");
+            }
+            proxy.list(ListKind::Full, (1..=60).map(ready).collect());
+        }
+    }
+}
+
 /// A hundred balancers that each wait for a second sign keep a jammed server busy with calls that come too late.
 #[test]
 fn one_call_that_timed_out_is_sign_enough_for_a_thin_balancer() {
