End the start with one line where settings cannot be meant

Tried one by one: no class, times of 0, negative or absurd ones, no proxies, a cold share outside 0 to 1, 2 MB of memory. Negative numbers and unknown forms already ended the start; the others were taken, and would have shown as refusals or overflows under load. Settings without `limits` are read now, with one attempt and no advice.

The test of SIGTERM sends SIGHUP and a second SIGTERM behind it: both change nothing.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -15,6 +15,9 @@
 
 /// The part of the memory that gathered bodies may take; two processes may share it for a while.
 const BODIES_PART: usize = 4;
+/// Least memory that the program runs in, and the longest times that settings can mean.
+const MEMORY_LEAST_MB: usize = 8;
+const TIME_MOST: Duration = Duration::from_secs(24 * 3_600);
 /// Connections that a process may hold however little it has been left.
 const CONNECTIONS_LEAST: usize = 10;
 
@@ -125,24 +128,37 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
         let (settings, classes, tenants) =
             ochrepond_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
+        ochrepond_settings::check(&settings).map_err(|e| format!("settings: {e}"))?;
         let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
         }
+        if file.limits.memory_mb < MEMORY_LEAST_MB {
+            return Err(format!("limits: {} MB are too little", file.limits.memory_mb));
+        }
+        let Connections { connect_timeout_us, conn_idle_us } = site.limits;
+        // Connections may well be meant not to be kept at all.
+        for (name, us, least) in
+            [("connect_timeout_us", connect_timeout_us, 1), ("conn_idle_us", conn_idle_us, 0)]
+        {
+            if us < least || Duration::from_micros(us) > TIME_MOST {
+                return Err(format!("settings: {name} of {us} us cannot be meant"));
+            }
+        }
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
             admin: file.admin,
             seed,
             sockets: file.limits.sockets,
-            bodies: (file.limits.memory_mb << 20) / BODIES_PART,
+            bodies: file.limits.memory_mb.saturating_mul(1 << 20) / BODIES_PART,
             processes: 1,
             known: file.known,
             settings,
             classes,
             tenants,
-            connect_timeout: Duration::from_micros(site.limits.connect_timeout_us),
-            conn_idle: Duration::from_micros(site.limits.conn_idle_us),
+            connect_timeout: Duration::from_micros(connect_timeout_us),
+            conn_idle: Duration::from_micros(conn_idle_us),
             drain_grace: Duration::from_micros(site.invariants.drain_grace_us),
         })
     }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -50,8 +50,11 @@
         let mut stuck = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
         stuck.send(&request("unsafe", "", "")).await;
         eventually("the host has it", || host.count() == 2).await;
-        let killed = Command::new("kill").arg(child.id().to_string()).status().expect("kill runs");
-        assert!(killed.success());
+        // A second order, and a new configuration beside it, change nothing.
+        for order in ["-TERM", "-HUP", "-TERM"] {
+            let sent = Command::new("kill").args([order, &child.id().to_string()]).status();
+            assert!(sent.expect("kill runs").success());
+        }
         let code = loop {
             match child.try_wait().expect("it can be waited for") {
                 Some(status) => break status.code(),
@@ -194,6 +197,10 @@
         (&good.replacen('{', "{\"admin\":\"nowhere\",", 1), "address"),
         (&good.replacen('{', "{\"admin\":\"192.0.2.1:9600\",", 1), "192.0.2.1:9600"),
         (&good.replace("\"cold_us\"", "\"cold_hs\""), "cold_us"),
+        (&good.replace("\"memory_mb\":192", "\"memory_mb\":2"), "2 MB"),
+        (&good.replace("\"objective_us\":5000000", "\"objective_us\":0"), "objective_us"),
+        (&good.replace("\"deadline_us\":9000000", "\"deadline_us\":-9"), "settings"),
+        (&good.replace("\"connect_timeout_us\":1000000", "\"connect_timeout_us\":0"), "connect_timeout_us"),
     ];
     for (number, (config, reason)) in cases.iter().enumerate() {
         let output = program(config, &format!("broken-{number}.json")).0.output().expect("it runs");
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -19,6 +19,7 @@
     tenants: Vec<TenantFacts>,
     #[serde(default)]
     discovery: String,
+    #[serde(default)]
     limits: LimitFacts,
     invariants: RuleFacts,
     #[serde(default)]
@@ -148,6 +149,41 @@
     Ok((settings, names, facts.tenants.into_iter().map(|t| t.name).collect()))
 }
 
+/// Longest time that settings can mean.
+const TIME_MOST: u64 = 24 * 3_600 * 1_000_000;
+
+/// Whether a program can run under these settings; if not, why. What cannot be meant is better met at the start than under
+/// load.
+pub fn check(settings: &Settings) -> Result<(), String> {
+    let Settings { balancers, classes, tenants, limits, rules, .. } = settings;
+    let time = |name: &str, value: u64| match value {
+        1..=TIME_MOST => Ok(()),
+        _ => Err(format!("{name} of {value} us cannot be meant")),
+    };
+    let number = |name: &str, value: f64, least: f64, most: f64| match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("{name} of {value} cannot be meant")),
+    };
+    if classes.is_empty() {
+        return Err("there is no class".to_owned());
+    }
+    for class in classes {
+        time("objective_us", class.aim)?;
+        time("deadline_us", class.deadline)?;
+        number("worth", class.worth, 0.0, f64::MAX)?;
+        number("late_value", class.late_value, 0.0, f64::MAX)?;
+    }
+    for tenant in tenants {
+        number("portion", tenant.share, 0.0, 1.0)?;
+    }
+    number("balancers", (*balancers).into(), 1.0, f64::MAX)?;
+    number("max_attempts", limits.max_attempts.into(), 1.0, f64::MAX)?;
+    number("cold_from", rules.cold_share, f64::MIN_POSITIVE, 1.0)?;
+    number("fall_multiple", rules.fall_multiple, f64::MIN_POSITIVE, f64::MAX)?;
+    number("cold_us", rules.cold_time as f64, 0.0, TIME_MOST as f64)?;
+    time("ask_every_us", rules.ask_every)
+}
+
 /// A number for a zone's name (FNV-1a), the same wherever it is met.
 pub fn zone(name: &str) -> ZoneId {
     ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
@@ -157,6 +193,31 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_cannot_be_meant_is_found_and_what_is_absent_is_made_up() {
+        let class = serde_json::json!({"name": "a", "objective_us": 500_000, "deadline_us": 900_000, "idempotency": "odd"});
+        let good = serde_json::json!({"balancers": 2, "classes": [class], "odd": {"more": [1]},
+            "invariants": {"cold_from": 0.1, "cold_us": 1}});
+        let checked = |facts: &serde_json::Value| check(&read(facts)?.0);
+        assert_eq!(checked(&good), Ok(()));
+        for (path, value) in [
+            ("/classes", serde_json::json!([])),
+            ("/classes/0/objective_us", 0.into()),
+            ("/classes/0/deadline_us", 0.into()),
+            ("/classes/0/deadline_us", u64::MAX.into()),
+            ("/classes/0/deadline_us", (-5).into()),
+            ("/balancers", 0.into()),
+            ("/balancers", (-1).into()),
+            ("/invariants/cold_from", (-0.1).into()),
+            ("/invariants/cold_from", 7.into()),
+            ("/invariants/cold_us", u64::MAX.into()),
+        ] {
+            let mut bad = good.clone();
+            *bad.pointer_mut(path).expect("a place") = value;
+            assert!(checked(&bad).is_err(), "{bad}");
+        }
+    }
+
     #[test]
     fn the_balancers_zone_is_the_one_that_entries_of_its_name_get() {
         let mut facts = serde_json::json!({"balancers": 2, "classes": [], "limits": {},
