Let a connection settle for 10 ms after an answer before its next request

At fault: Driver::send (proxy/src/driver.rs) took the connection that had been answered on last, at once.

Now one that has settled is taken first; one that has not is waited for, 10 ms after its answer at the most, and looked at again, rather than opening another, which costs its server work.

a_connection_settles_before_its_next_request fails without it.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -25,6 +25,9 @@
 
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_PART: f64 = 0.9;
+/// How long a connection is left alone after an answer: a second one may come some milliseconds behind it, and would be
+/// taken for that of the next request.
+const SETTLING: Duration = Duration::from_millis(10);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// How many sweeps pass between two lines of figures in the log.
@@ -176,6 +179,13 @@
     Event::Outcome { call, attempt, outcome, elapsed, closed, load }
 }
 
+/// A kept connection once it has settled, if it is of use then.
+async fn settled(kept: Option<(Instant, Connection)>) -> Option<(Instant, Connection)> {
+    let (since, connection) = kept?;
+    sleep_until(since + SETTLING).await;
+    connection.is_ready().then_some((since, connection))
+}
+
 /// What an attempt sends where, and until when it waits.
 #[derive(Clone, Copy)]
 struct Sending<'a> {
@@ -204,6 +214,12 @@
 }
 
 impl Host {
+    /// The connection that was used last of those that have settled, or the one that will have first.
+    fn take_idle(&mut self) -> Option<(Instant, Connection)> {
+        let settled = self.idle.iter().rposition(|(since, _)| since.elapsed() >= SETTLING);
+        (!self.idle.is_empty()).then(|| self.idle.remove(settled.unwrap_or(0)))
+    }
+
     /// Whether something new may be written to it at this address.
     fn takes(&self, address: SocketAddr) -> bool {
         self.health == Health::Ready && self.dial == address
@@ -466,7 +482,7 @@
 
     /// One attempt, from its connection to its outcome. It is over at its deadline whatever happens, unless its answer
     /// has begun to be passed on.
-    async fn attempt(&self, sending: Sending<'_>, kept: Option<(Duration, Connection)>) -> End {
+    async fn attempt(&self, sending: Sending<'_>, kept: Option<(Instant, Connection)>) -> End {
         let Sending { forward, until, meter, .. } = sending;
         let upload = forward.payload.upload();
         let expired = async {
@@ -504,7 +520,7 @@
         }
     }
 
-    async fn exchange(&self, sending: Sending<'_>, kept: Option<(Duration, Connection)>) -> End {
+    async fn exchange(&self, sending: Sending<'_>, kept: Option<(Instant, Connection)>) -> End {
         let Sending { to, forward, until, meter } = sending;
         let memory = self.0.borrow().memory.clone();
         let terms = || {
@@ -512,7 +528,8 @@
             let back = Box::new(move |connection| handle.give_back(to, connection));
             Terms { payload: &forward.payload, meter, memory: &memory, back }
         };
-        if let Some((idle, connection)) = kept {
+        if let Some((since, connection)) = settled(kept).await {
+            let idle = since.elapsed();
             let end = upstream::exchange(connection, forward.request(until, meter), terms()).await;
             let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
             self.counters().count().broken_reuse += u64::from(broken);
@@ -726,7 +743,7 @@
         let (meter, forward, address) = (Meter::new(&self.counters), call.forward.clone(), host.dial);
         // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
         host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
-        let kept = host.idle.pop().map(|(since, connection)| (since.elapsed(), connection));
+        let kept = host.take_idle();
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
             upstream::spawn(async move {
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -4,6 +4,8 @@
 
 use common::*;
 use std::slice::from_ref;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 
 /// A connection costs a host many times a request's overhead. It must be back before the outcome is told:
 /// else the request that the outcome lets go opens another.
@@ -64,6 +66,29 @@
     });
 }
 
+/// A second answer may come some milliseconds behind the first: until then the connection takes no other request, which
+/// would get it.
+#[test]
+fn a_connection_settles_before_its_next_request() {
+    run(async {
+        let played = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = played.local_addr().expect("an address");
+        let host = Host { address, ..Host::start([Act::Stall]).await };
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        client.send(&request("unsafe", "", "")).await;
+        let mut server = Reader::new(played.accept().await.expect("the proxy connects").0);
+        server.message().await.expect("a request");
+        let Act::Say(good) = ok("first") else { return };
+        let answered = Instant::now();
+        server.send(&good).await;
+        assert_eq!(client.message().await.expect("an answer").body, b"first");
+        client.send(&request("unsafe", "", "")).await;
+        server.message().await.expect("the next request on the same connection");
+        assert!(answered.elapsed() >= Duration::from_millis(10));
+    });
+}
+
 /// Answers that announce themselves are passed on as if they had not.
 #[test]
 fn informational_answers_are_passed_over() {
