--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -179,6 +179,31 @@
     });
 }
 
+/// A host that was to finish its work and is ready again is used again, also where one line says both.
+#[test]
+fn a_host_that_is_ready_again_is_used_again() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&host), |_| ()).await;
+        let mut client = proxy.client().await;
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        let entries = |states: &[&str]| -> Vec<_> {
+            states.iter().map(|state| entry("s-0", host.address, state)).collect()
+        };
+        let finishes = "its idle connection is closed";
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        discovery.push(&chunk(&list(42, false, &entries(&["Terminating"])))).await;
+        eventually(finishes, || host.open.get() == 0).await;
+        discovery.push(&chunk(&list(43, false, &entries(&["Ready"])))).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        discovery.push(&chunk(&list(44, false, &entries(&["Terminating", "Ready"])))).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        discovery.push(&chunk(&list(45, false, &entries(&["Ready", "Terminating"])))).await;
+        eventually(finishes, || host.open.get() == 0).await;
+    });
+}
+
 /// Where lists are pushed the module never asks: the proxy watches its agent all the same.
 #[test]
 fn a_pushed_list_is_watched_too() {
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -182,6 +182,33 @@
     });
 }
 
+/// A connection that breaks once the whole request is written: it may have run. What its class forbids does not go again,
+/// and is not told to come again; the rest goes again at once.
+#[test]
+fn what_may_have_run_goes_again_only_as_its_class_allows() {
+    run(async {
+        for kept in [0, 1] {
+            for (class, status) in [("free", 200), ("keyed", 200), ("unsafe", 502)] {
+                let before = vec![ok("before"); kept];
+                let breaking = Host::start(before.into_iter().chain([Act::SayAndClose(String::new())])).await;
+                let hosts = [breaking, Host::start([ok("good")]).await];
+                let proxy = Proxy::start(&hosts).await;
+                let mut client = proxy.client().await;
+                let answer = loop {
+                    let good = hosts[1].count();
+                    let answer = client.ask(&request(class, "", "")).await;
+                    if hosts[0].count() > kept {
+                        let again = hosts[0].count() - kept - 1 + hosts[1].count() - good;
+                        assert_eq!(again, usize::from(status == 200), "{class}, {kept}");
+                        break answer;
+                    }
+                };
+                assert_eq!(answer.status(), status, "{class}, {kept}");
+            }
+        }
+    });
+}
+
 /// Nothing is sent for a call that is over, also where the site does not let attempts be called off: one that
 /// still waits for its connection must not be written once that comes up.
 #[test]
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -92,6 +92,35 @@
     });
 }
 
+/// A connection that waits to be accepted, as all places are taken, has been taken all the same: the listener is not closed
+/// under it, which would reset it.
+#[test]
+fn a_stop_answers_what_waits_to_be_accepted() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let few = |config: &mut serde_json::Value| {
+            config["limits"]["sockets"] = 70.into();
+            config["admin"] = "127.0.0.1:0".into();
+        };
+        let discovery = Discovery::quiet().await;
+        let mut proxy = Proxy::with(&discovery, from_ref(&host), few).await;
+        let admin = proxy.admin.expect("an address for operators");
+        let text = configuration(discovery.address, &[], few);
+        let places = nettleworks::config::Config::parse(&text).expect("good").connections_to_clients();
+        let mut clients = Vec::new();
+        for number in 1..=places {
+            clients.push(proxy.client().await);
+            clients[number - 1].send(&request("free", "", "").replace("8000", "1500")).await;
+            while figures(admin).await["pending"] != number {}
+        }
+        let mut waiting = proxy.client().await;
+        waiting.send(&request("free", "", "")).await;
+        drop(proxy.stop.take());
+        assert_eq!(waiting.message().await.expect("an answer").status(), 503);
+        (&mut proxy.task).await.expect("it ends without a panic").expect("it listened");
+    });
+}
+
 /// What is unread when a connection ends must not reset it: the answer before may still be on its way.
 #[test]
 fn the_end_of_a_connection_does_not_cross_what_came() {
