Let places stay taken for longer than the listener while a stop is tested

The test of what waits to be accepted passed with accept_rest broken on purpose (returning without a place), as calls that were held left their places before the listener closed. With the clients' full time it fails then. Broken on purpose too: the class rule of repeats (what_may_have_run_... fails) and the state that a list brings (a_host_that_is_ready_again_... fails).

--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -110,7 +110,7 @@
         let mut clients = Vec::new();
         for number in 1..=places {
             clients.push(proxy.client().await);
-            clients[number - 1].send(&request("free", "", "").replace("8000", "1500")).await;
+            clients[number - 1].send(&request("free", "", "")).await;
             while figures(admin).await["pending"] != number {}
         }
         let mut waiting = proxy.client().await;
