Number servers by a hash of their names, so that a release does not crowd a few

Followed: a line of the budget each half second, from all proxies. Only the spread over servers had changed, from 1.9 to 3.3.

Cause: the module's ring is in the order of servers' numbers, and Driver::intern counted them as it heard of them. So all that a release starts stood side by side at the end. They are cold, and a proxy whose place is among them goes on to the next warm ones: a third of the fleet met at the first servers behind the run. Restarted proxies counted anew, too, and had another ring.

Change: the number is a hash (xxh3) of the name, the same in all proxies whatever they have heard of.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -6,6 +6,7 @@
 use crate::counters::{Counters, Ending, Taken};
 use crate::discovery::{self, Health, List};
 use crate::idle::Idle;
+use crate::server_ids::ServerIds;
 use crate::socket::{Meter, Socket};
 use crate::upstream::{self, Connection, End, Terms};
 use hyper::header::{HeaderMap, HeaderValue};
@@ -249,8 +250,7 @@
     calls: BTreeMap<CallId, Call>,
     next_call: u64,
     hosts: HashMap<ServerId, Host>,
-    names: HashMap<String, ServerId>,
-    next_server: u32,
+    server_ids: ServerIds,
     /// What use shows of how long idle connections hold.
     idle: Idle,
     seq: Option<u64>,
@@ -332,8 +332,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             hosts: HashMap::new(),
-            names: HashMap::new(),
-            next_server: 0,
+            server_ids: ServerIds::default(),
             idle: Idle::default(),
             // Set before the start: the module subscribes at once, from the version of the list it gets next.
             seq: config.known.as_ref().map(|known| known.seq),
@@ -507,8 +506,8 @@
         driver.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
         driver.hosts.retain(|_, host| host.health != Health::Gone);
-        let Driver { names, hosts, .. } = &mut *driver;
-        names.retain(|_, server| hosts.contains_key(server));
+        let Driver { server_ids, hosts, .. } = &mut *driver;
+        server_ids.retain(|server| hosts.contains_key(&server));
         drop(driver);
         self.run([]);
     }
@@ -885,11 +884,9 @@
 
     /// The number of a host. What is idle there is of no use once it moves or starts again.
     fn intern(&mut self, entry: &discovery::Host) -> ServerId {
-        let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
-            self.next_server += 1;
+        let server = self.server_ids.get(&entry.host, |id| {
             // The module's lines name servers by number alone.
-            crate::log(&format!("server {} is {} at {}", self.next_server, entry.host, entry.dial));
-            ServerId(self.next_server)
+            crate::log(&format!("server {} is {} at {}", id.0, entry.host, entry.dial));
         });
         let host = self.hosts.entry(server).or_insert_with(|| Host {
             dial: entry.dial,
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod idle;
 mod requests;
 pub mod server;
+pub mod server_ids;
 mod socket;
 pub mod upstream;
 
