Keep a new client whose request has come and is unread when places are short

What a new one had sent counted only once it was read, so a process that came to read 100 ms late closed a client whose whole request lay there; the taken request ended with no answer. Idle ones were looked at already. The test fails without the change.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -206,8 +206,8 @@
             Phase::Idle(since) => (4, since),
             Phase::Open => return None,
         };
-        // What has come and was not read may be a whole request.
-        let unread = matches!(self.phase.get(), Phase::Idle(_)) && !self.socket.is_quiet();
+        // What has come and was not read may be a whole request, also on a new one whose task has had no turn yet.
+        let unread = matches!(self.phase.get(), Phase::New(_) | Phase::Idle(_)) && !self.socket.is_quiet();
         (now >= since + BEGUN && !unread).then_some((rank, since))
     }
 
@@ -456,6 +456,21 @@
         drop(far);
     }
 
+    /// A process that is busy comes to read late: its clients are not closed for that.
+    #[tokio::test]
+    async fn a_new_client_whose_request_is_unread_is_not_spared() {
+        let (far, near) = pair().await;
+        let (task, now) = (tokio::spawn(std::future::pending()), Instant::now());
+        let phase = Rc::new(Cell::new(Phase::New(now - BEGUN)));
+        let client = Client { task, socket: Socket::of_client(near), phase, end: Rc::default() };
+        assert!(client.spare(now).is_some(), "it has said nothing");
+        far.try_write(b"GET /api HTTP/1.1\r\n").expect("written");
+        while client.socket.is_quiet() {
+            yield_now().await;
+        }
+        assert!(client.spare(now).is_none());
+    }
+
     /// A host that takes nothing, and a configuration that knows it.
     async fn one_host() -> (TcpListener, Rc<crate::config::Config>) {
         let host = TcpListener::bind("127.0.0.1:0").await.expect("a port");
