Let a balancer of few calls heed a jam within two seconds

Cause: Pool::learn cut only once thirty answers made up the strain, and a balancer has seven a second. Change: an answer's weight goes by the time since the last one as well: those of a second make up the strain, ten at the least. Busy balancers are as before, as chance in answers that come at once still cuts nothing. The test fails without the change (40 of 40 calls sent after two seconds of late answers).

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -16,8 +16,11 @@
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
 pub(crate) const SMOOTHING: f64 = 0.1;
 /// The same in the strain of a shared budget. Its calls meet fast and slow servers and are of all classes:
-/// of ten answers the mean is chance, and a cut by it refuses calls for nothing.
-pub(crate) const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
+/// of ten answers that come at once the mean is chance, and a cut by it refuses calls for nothing.
+const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
+/// Time whose answers make up that strain where fewer come: a balancer that waited for thirty would be seconds
+/// late in a jam that all others feed as well.
+const POOL_MEMORY: f64 = 1e6;
 /// Doublings of a backoff up to its cap.
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
 /// A server's first budget under which all servers share one: half a call, which would round to none.
@@ -93,7 +96,8 @@
     pub(crate) at: Micros,
     pub(crate) used: f64,
     pub(crate) strain: f64,
-    pub(crate) answers: u32,
+    /// Sum of the weights of the answers since the last cut; at 1 they make up the strain.
+    pub(crate) weighed: f64,
     pub(crate) changed: Micros,
     pub(crate) heard: Micros,
 }
@@ -126,21 +130,23 @@
     /// Strain seen at whichever server lowers the budget, counted from what was used of it. Calls sent before
     /// the last cut tell nothing of it: cut for them too, a busy balancer would give up all in one jam.
     pub(crate) fn learn(&mut self, now: Micros, sent: Micros, strain: f64, elapsed: f64) {
-        let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
+        let gap = now.saturating_sub(self.heard) as f64;
         self.heard = now;
-        self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
+        self.used = self.used * (-gap / RATE_MEMORY).exp() + elapsed / RATE_MEMORY;
         if sent < self.changed {
             return;
         }
-        self.strain += (strain - self.strain) * POOL_SMOOTHING.max(1.0 - (-gap).exp());
-        self.answers += 1;
-        if self.strain > 1.0 && f64::from(self.answers) * POOL_SMOOTHING >= 1.0 {
+        let within = |memory: f64| 1.0 - (-gap / memory).exp();
+        let weight = within(POOL_MEMORY).clamp(POOL_SMOOTHING, SMOOTHING).max(within(RATE_MEMORY));
+        self.strain += (strain - self.strain) * weight;
+        self.weighed += weight;
+        if self.strain > 1.0 && self.weighed >= 1.0 {
             // The mean of some seconds is far under what is out when calls have only begun to come.
             let used = self.used.max(f64::from(self.out)) / (f64::from(self.budget.steps) * self.up.max(1.0));
             self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
             self.budget.cut(1.0 / self.strain, false);
             self.strain = self.strain.sqrt();
-            (self.answers, self.changed) = (0, now);
+            (self.weighed, self.changed) = (0.0, now);
         }
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -348,3 +348,38 @@
     }
     assert!(lost * 20 < all, "{lost} of {all} calls went to servers that answer nothing");
 }
+
+/// One of three hundred before two hundred servers, whose calls are all of one class with this aim.
+fn one_of_hundreds(aim: Micros) -> Proxy {
+    let mut settings = Settings { balancers: 300, ..settings(Repeat::Free) };
+    settings.classes[0].aim = aim;
+    Proxy::new(settings, 200)
+}
+
+/// Thirty answers of its own would take it four seconds, in a jam that all others feed as well.
+#[test]
+fn a_balancer_of_few_calls_heeds_a_jam_within_two_seconds() {
+    let mut proxy = one_of_hundreds(500 * MS);
+    for _ in 0..20 {
+        let out = burst(&mut proxy, 40);
+        serve_all(&mut proxy, out, 40 * MS);
+        proxy.wait(300 * MS);
+    }
+    let out = burst(&mut proxy, 40);
+    let before = out.len();
+    serve_all(&mut proxy, out, 40 * MS);
+    proxy.wait(300 * MS);
+    let mut out = std::collections::VecDeque::new();
+    for _ in 0..14 {
+        out.extend(burst(&mut proxy, 1));
+        proxy.now += 100 * MS;
+        if out.len() == 2 {
+            let oldest = out.pop_front().expect("two are out");
+            proxy.end(oldest, 0, Outcome::Served, 200 * MS);
+        }
+    }
+    serve_all(&mut proxy, out.into(), 100 * MS);
+    proxy.wait(300 * MS);
+    let left = burst(&mut proxy, 40).len();
+    assert!(4 * left <= 3 * before, "{left} of {before} after two seconds of late answers");
+}
