Begin a shared budget with a call for each core, not seven calls a server

Cause: START_CONCURRENCY was the first site's. Change: a shared budget begins with three calls a server over all balancers; a served trial adds as much again. It lets three usual calls go at once in place of two. Its floor is the same, given in calls. The test fails without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,8 +59,8 @@
 const WINDOW_LEAST: usize = 8;
 const WINDOW_BUSY: f64 = 0.8;
 /// Part of the rules' limit that cold servers are sent: half, as one may do half of what the mean one does,
-/// and two fifths less, as calls are of uneven work and each server is within reach of few balancers.
-const COLD_PART: f64 = 0.3;
+/// and half of that again less, as calls are of uneven work and each server is within reach of few balancers.
+const COLD_PART: f64 = 0.24;
 /// Parts of a cold server's first call of which any number may have been earned when it is heard of.
 const PARTS: u64 = 1 << 20;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -9,6 +9,10 @@
 /// and a jam would last; and where mild strain leads, from above or below.
 const START_CONCURRENCY: f64 = 7.0;
 const FLOOR_CONCURRENCY: f64 = 12.0;
+/// The same at first under a shared budget: a call for each core. Most of very many balancers may start at once,
+/// in the middle of a release and with all their clients waiting, and what they send too much stands in queues
+/// until it is late. A served trial adds as much again.
+const POOL_START: f64 = 3.0;
 /// What one round leaves of the concurrency at the least (TCP's cut).
 const CUT_MOST: f64 = 0.5;
 /// What a deep cut leaves of the floor at the least: an idle half of a few cores.
@@ -25,9 +29,9 @@
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
 /// A server's first budget under which all servers share one: half a call, which would round to none.
 const POOL_UNDER: f64 = 0.5;
-/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
-const POOL_BURST: f64 = 2.0;
-const POOL_FLOOR: f64 = 0.05;
+/// Usual calls that a shared budget lets go at once; what it is cut to at the least, in calls in flight at a server.
+const POOL_BURST: f64 = 3.0;
+const POOL_FLOOR: f64 = 0.35;
 /// Memory of the rate of answers.
 pub(crate) const RATE_MEMORY: f64 = 3e6;
 
@@ -104,9 +108,10 @@
 
 impl Pool {
     pub(crate) fn new(balancers: u32) -> Option<Self> {
-        let mut budget = Budget::new(balancers);
-        budget.floor = budget.concurrency * POOL_FLOOR;
-        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
+        let of_all = |concurrency: f64| concurrency / f64::from(balancers.max(1));
+        let (concurrency, floor) = (of_all(POOL_START), of_all(POOL_FLOOR));
+        let budget = Budget { steps: 1, concurrency, floor, ..Budget::default() };
+        (of_all(START_CONCURRENCY) < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
     }
 
     pub(crate) fn total(&self) -> f64 {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -356,6 +356,23 @@
     Proxy::new(settings, 200)
 }
 
+/// In the middle of a release most of them may start at once.
+#[test]
+fn a_new_balancer_begins_with_its_part_of_a_call_for_each_core_and_soon_takes_more() {
+    let mut proxy = one_of_hundreds(500 * MS);
+    let out = burst(&mut proxy, 40);
+    let first = out.len();
+    assert!((2..=5).contains(&first), "{first} at once");
+    serve_all(&mut proxy, out, 40 * MS);
+    for _ in 0..10 {
+        let out = burst(&mut proxy, 40);
+        serve_all(&mut proxy, out, 40 * MS);
+        proxy.wait(100 * MS);
+    }
+    let then = burst(&mut proxy, 40).len();
+    assert!(then >= 2 * first, "{then} after two seconds, {first} at first");
+}
+
 /// Thirty answers of its own would take it four seconds, in a jam that all others feed as well.
 #[test]
 fn a_balancer_of_few_calls_heeds_a_jam_within_two_seconds() {
