Let more than 1,024 connections wait to be accepted

The operators' fleet has no list that ends at 1,024, and a crowd may come at once. The system's own limit holds all the same. No test: what waits is the system's matter, and its limit differs between machines.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -23,8 +23,8 @@
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{interval, sleep, sleep_until, timeout, Instant, MissedTickBehavior};
 
-/// Connections that may wait to be accepted.
-pub const BACKLOG: u32 = 1_024;
+/// Connections that may wait to be accepted: all of a crowd that comes at once. The system holds no more than its own limit.
+pub const BACKLOG: u32 = 4_096;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
 /// By when requests get their answers: the longest deadline, taken as this where it is longer, and a margin, which are
