--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -223,3 +223,35 @@
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
     });
 }
+
+/// Lists of proxies and servers are as long as the fleet is.
+#[test]
+fn two_thousand_proxies_and_servers_are_no_limit() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, &[], |config| {
+            NONE(config);
+            config["settings"]["balancers"] = 2_000.into();
+            config["settings"]["me"] = 1_999.into();
+            config["peers"] = (1..=2_000).map(|port| format!("127.0.0.1:{port}")).collect();
+        })
+        .await;
+        let entries: Vec<_> =
+            (0..2_000).map(|number| entry(&format!("s-{number}"), host.address, "Ready")).collect();
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        discovery.push(&chunk(&list(42, true, &entries))).await;
+        let mut client = proxy.client().await;
+        while client.ask(HEALTH).await.status() != 200 {}
+        for _ in 0..20 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        }
+        // All but the last are gone at once.
+        let gone: Vec<_> =
+            (0..1_999).map(|number| entry(&format!("s-{number}"), host.address, "Gone")).collect();
+        discovery.push(&chunk(&list(43, false, &gone))).await;
+        for _ in 0..20 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        }
+    });
+}
