--- a/src/pace.rs
+++ b/src/pace.rs
@@ -16,8 +16,8 @@
 /// The same under a shared budget, of what the aim leaves for waiting. No balancer sees a server often enough
 /// to spare the one that is crowded: all have to stay well below what crowds it.
 const POOL_STRAIN_AIM: f64 = 0.2;
-/// ... but not below this many times the unloaded time, as at servers two thirds busy (two cores, M/M/2), nor
-/// beyond this share of what the aim leaves: near aims would make a fleet that is not crowded look so.
+/// ... but not below this many times the unloaded time, as at two cores that are nearly three fifths busy
+/// (M/M/2), nor beyond this share of what the aim leaves: near aims would make a fleet that is not crowded look so.
 const POOL_STRAIN_TIMES: f64 = 1.5;
 const POOL_STRAIN_AIM_MOST: f64 = 0.5;
 /// Strain for which one answer counts there at the most: a few that met slow servers are no sign of all.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -401,7 +401,7 @@
     assert!(4 * left <= 3 * before, "{left} of {before} after two seconds of late answers");
 }
 
-/// Servers that are two thirds busy take half as long again: where the aim is near that is no jam.
+/// Servers of two cores that are nearly three fifths busy take half as long again: where the aim is near that is no jam.
 #[test]
 fn a_near_aim_does_not_make_a_busy_fleet_a_crowded_one() {
     let mut proxy = one_of_hundreds(100 * MS);
