--- a/src/pace.rs
+++ b/src/pace.rs
@@ -17,7 +17,7 @@
 /// to spare the one that is crowded: all have to stay well below what crowds it.
 const POOL_STRAIN_AIM: f64 = 0.2;
 /// ... but not below this many times the unloaded time, as at two cores that are nearly three fifths busy
-/// (M/M/2), nor beyond this share of what the aim leaves: near aims would make a fleet that is not crowded look so.
+/// (M/M/2), nor beyond this share of what the aim leaves: near aims would make an idle fleet look crowded.
 const POOL_STRAIN_TIMES: f64 = 1.5;
 const POOL_STRAIN_AIM_MOST: f64 = 0.5;
 /// Strain for which one answer counts there at the most: a few that met slow servers are no sign of all.
