--- a/src/budget.rs
+++ b/src/budget.rs
@@ -9,6 +9,10 @@
 /// and a jam would last; and where mild strain leads, from above or below.
 const START_CONCURRENCY: f64 = 7.0;
 const FLOOR_CONCURRENCY: f64 = 12.0;
+/// The same at first under a shared budget: a call for each core. Most of very many balancers may start at once,
+/// in the middle of a release and with all their clients waiting, and what they send too much stands in queues
+/// until it is late. A served trial adds as much again.
+const POOL_START: f64 = 3.0;
 /// What one round leaves of the concurrency at the least (TCP's cut).
 const CUT_MOST: f64 = 0.5;
 /// What a deep cut leaves of the floor at the least: an idle half of a few cores.
@@ -16,15 +20,18 @@
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
 pub(crate) const SMOOTHING: f64 = 0.1;
 /// The same in the strain of a shared budget. Its calls meet fast and slow servers and are of all classes:
-/// of ten answers the mean is chance, and a cut by it refuses calls for nothing.
-pub(crate) const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
+/// of ten answers that come at once the mean is chance, and a cut by it refuses calls for nothing.
+const POOL_SMOOTHING: f64 = SMOOTHING / 3.0;
+/// Time whose answers make up that strain where fewer come: a balancer that waited for thirty would be seconds
+/// late in a jam that all others feed as well.
+const POOL_MEMORY: f64 = 1e6;
 /// Doublings of a backoff up to its cap.
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
 /// A server's first budget under which all servers share one: half a call, which would round to none.
 const POOL_UNDER: f64 = 0.5;
-/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
-const POOL_BURST: f64 = 2.0;
-const POOL_FLOOR: f64 = 0.05;
+/// Usual calls that a shared budget lets go at once; what it is cut to at the least, in calls in flight at a server.
+const POOL_BURST: f64 = 3.0;
+const POOL_FLOOR: f64 = 0.35;
 /// Memory of the rate of answers.
 pub(crate) const RATE_MEMORY: f64 = 3e6;
 
@@ -93,16 +100,18 @@
     pub(crate) at: Micros,
     pub(crate) used: f64,
     pub(crate) strain: f64,
-    pub(crate) answers: u32,
+    /// Sum of the weights of the answers since the last cut; at 1 they make up the strain.
+    pub(crate) weighed: f64,
     pub(crate) changed: Micros,
     pub(crate) heard: Micros,
 }
 
 impl Pool {
     pub(crate) fn new(balancers: u32) -> Option<Self> {
-        let mut budget = Budget::new(balancers);
-        budget.floor = budget.concurrency * POOL_FLOOR;
-        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
+        let of_all = |concurrency: f64| concurrency / f64::from(balancers.max(1));
+        let (concurrency, floor) = (of_all(POOL_START), of_all(POOL_FLOOR));
+        let budget = Budget { steps: 1, concurrency, floor, ..Budget::default() };
+        (of_all(START_CONCURRENCY) < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
     }
 
     pub(crate) fn total(&self) -> f64 {
@@ -126,21 +135,23 @@
     /// Strain seen at whichever server lowers the budget, counted from what was used of it. Calls sent before
     /// the last cut tell nothing of it: cut for them too, a busy balancer would give up all in one jam.
     pub(crate) fn learn(&mut self, now: Micros, sent: Micros, strain: f64, elapsed: f64) {
-        let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
+        let gap = now.saturating_sub(self.heard) as f64;
         self.heard = now;
-        self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
+        self.used = self.used * (-gap / RATE_MEMORY).exp() + elapsed / RATE_MEMORY;
         if sent < self.changed {
             return;
         }
-        self.strain += (strain - self.strain) * POOL_SMOOTHING.max(1.0 - (-gap).exp());
-        self.answers += 1;
-        if self.strain > 1.0 && f64::from(self.answers) * POOL_SMOOTHING >= 1.0 {
+        let within = |memory: f64| 1.0 - (-gap / memory).exp();
+        let weight = within(POOL_MEMORY).clamp(POOL_SMOOTHING, SMOOTHING).max(within(RATE_MEMORY));
+        self.strain += (strain - self.strain) * weight;
+        self.weighed += weight;
+        if self.strain > 1.0 && self.weighed >= 1.0 {
             // The mean of some seconds is far under what is out when calls have only begun to come.
             let used = self.used.max(f64::from(self.out)) / (f64::from(self.budget.steps) * self.up.max(1.0));
             self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
             self.budget.cut(1.0 / self.strain, false);
             self.strain = self.strain.sqrt();
-            (self.answers, self.changed) = (0, now);
+            (self.weighed, self.changed) = (0.0, now);
         }
     }
 }
