--- a/deploy/sites/generate/src/main.rs
+++ b/deploy/sites/generate/src/main.rs
@@ -45,9 +45,9 @@
     std::fs::write(&file, site).map_err(named(&file))?;
     let folder = arguments.bases[base].parent().unwrap_or(Path::new("."));
     for name in COMPANIONS {
-        let file = arguments.out.join(name);
-        let bytes = std::fs::read(folder.join(name)).map_err(named(&folder.join(name)))?;
-        std::fs::write(&file, bytes).map_err(named(&file))?;
+        let (from, to) = (folder.join(name), arguments.out.join(name));
+        let bytes = std::fs::read(&from).map_err(named(&from))?;
+        std::fs::write(&to, bytes).map_err(named(&to))?;
     }
     Ok(())
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -27,14 +27,19 @@
     }
 }
 
-#[test]
-fn a_jam_halves_what_a_busy_balancer_may_have_out_and_takes_no_more() {
-    let mut proxy = one_of_many();
+/// Bursts that are answered soon, until the balancer has grown to what they need.
+fn grow(proxy: &mut Proxy) {
     for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
+        let out = burst(proxy, 40);
+        serve_all(proxy, out, 40 * MS);
         proxy.wait(300 * MS);
     }
+}
+
+#[test]
+fn a_jam_halves_what_a_busy_balancer_may_have_out_and_takes_no_more() {
+    let mut proxy = one_of_many();
+    grow(&mut proxy);
     let out = burst(&mut proxy, 40);
     let before = out.len();
     assert!(before >= 30, "a busy balancer grows to what it needs: {before}");
@@ -100,11 +105,7 @@
 #[test]
 fn servers_that_refuse_do_not_lower_the_budget_of_all() {
     let mut proxy = one_of_many();
-    for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
-        proxy.wait(300 * MS);
-    }
+    grow(&mut proxy);
     // Half of the servers drain and the list has not said so yet.
     let out: Vec<(CallId, ServerId)> = (0..40).flat_map(|_| sent(&proxy.call().1)).collect();
     let before = out.len();
@@ -123,11 +124,7 @@
 #[test]
 fn a_few_late_answers_are_chance_and_cut_nothing() {
     let mut proxy = one_of_many();
-    for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
-        proxy.wait(300 * MS);
-    }
+    grow(&mut proxy);
     let before = burst(&mut proxy, 40);
     let (late, rest) = before.split_at(6);
     serve_all(&mut proxy, rest.to_vec(), 40 * MS);
@@ -252,11 +249,7 @@
 fn after_a_zone_is_lost() -> Proxy {
     let mut proxy = one_of_many();
     proxy.list(ListKind::Full, (1..=60).map(|id| Entry { zone: ZoneId(id % 2), ..ready(id) }).collect());
-    for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
-        proxy.wait(300 * MS);
-    }
+    grow(&mut proxy);
     let mut out: Vec<(CallId, u32, ServerId)> =
         (0..40).flat_map(|_| sent(&proxy.call().1)).map(|(call, to)| (call, 0, to)).collect();
     proxy.now += 40 * MS;
@@ -377,11 +370,7 @@
 #[test]
 fn a_balancer_of_few_calls_heeds_a_jam_within_two_seconds() {
     let mut proxy = one_of_hundreds(500 * MS);
-    for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
-        proxy.wait(300 * MS);
-    }
+    grow(&mut proxy);
     let out = burst(&mut proxy, 40);
     let before = out.len();
     serve_all(&mut proxy, out, 40 * MS);
@@ -416,11 +405,7 @@
 #[test]
 fn a_few_calls_without_an_answer_do_not_cut_the_budget_of_all() {
     let mut proxy = one_of_many();
-    for _ in 0..20 {
-        let out = burst(&mut proxy, 40);
-        serve_all(&mut proxy, out, 40 * MS);
-        proxy.wait(300 * MS);
-    }
+    grow(&mut proxy);
     let out = burst(&mut proxy, 40);
     let before = out.len();
     let (lost, rest) = out.split_at(4);
