--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod common;
 mod endpoint;
+mod half_written;
 mod hung_upload;
 
 use std::path::{Path, PathBuf};
@@ -53,6 +54,7 @@
 fn play_case(case: &str, folder: &Path) -> std::io::Result<i32> {
     match case {
         "hung-upload" => hung_upload::play(folder),
+        "half-written" => half_written::play(folder),
         _ => Err(std::io::Error::other("no such case")),
     }
 }
