--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod half_written;
 mod hung_upload;
+mod slow_readers;
 
 use std::path::{Path, PathBuf};
 use std::process::exit;
@@ -55,6 +56,7 @@
     match case {
         "hung-upload" => hung_upload::play(folder),
         "half-written" => half_written::play(folder),
+        "slow-readers" => slow_readers::play(folder),
         _ => Err(std::io::Error::other("no such case")),
     }
 }
