--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -176,7 +176,12 @@
 }
 
 /// Starts an endpoint as a process of its own, which logs each request that it ran.
-pub fn start_endpoint(folder: &Path, number: usize, zone: &'static str) -> io::Result<Endpoint> {
+pub fn start_endpoint(
+    folder: &Path,
+    number: usize,
+    zone: &'static str,
+    spoil_each: usize,
+) -> io::Result<Endpoint> {
     let address = free_address()?;
     let name = format!("s-{number:04}");
     let log = folder.join(format!("endpoint-{number}.log"));
@@ -185,6 +190,7 @@
     command
         .args(["endpoint", &address.to_string()])
         .arg(&log)
+        .arg(spoil_each.to_string())
         .stdin(Stdio::null());
     let mut child = spawn(&mut command)?;
     if let Err(error) = wait_for_port(address) {
@@ -356,11 +362,20 @@
 impl World {
     /// Starts endpoints, discovery and a proxy. `zones` has the zone of each endpoint.
     pub fn start(limits: &Limits, zones: &[&'static str]) -> io::Result<World> {
+        World::start_spoilt(limits, zones, 0)
+    }
+
+    /// Like [`World::start`], with endpoints that send one answer in `spoil_each` twice.
+    pub fn start_spoilt(
+        limits: &Limits,
+        zones: &[&'static str],
+        spoil_each: usize,
+    ) -> io::Result<World> {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let mut endpoints = Vec::new();
         let started = zones.iter().enumerate().try_for_each(|(number, zone)| {
-            endpoints.push(start_endpoint(&folder, number, zone)?);
+            endpoints.push(start_endpoint(&folder, number, zone, spoil_each)?);
             Ok(())
         });
         let list = list_of(&endpoints);
--- a/review/stand-ins/endpoint.rs
+++ b/review/stand-ins/endpoint.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -13,19 +14,27 @@
 /// How long an endpoint works on a request.
 const WORK: Duration = Duration::from_millis(20);
 
+/// How long after an answer a second one follows, where an answer is spoilt.
+const SECOND_ANSWER_AFTER: Duration = Duration::from_millis(4);
+
+/// Number of answers so far.
+static ANSWERS: AtomicUsize = AtomicUsize::new(0);
+
 /// An endpoint: it starts on a request once its last byte has arrived, and answers 200 with the
-/// request's id and as many bytes as the query asks for (`?size=N`).
-pub fn serve(address: &str, log: &str) -> io::Result<()> {
+/// request's id and as many bytes as the query asks for (`?size=N`). One answer in `spoil_each` is
+/// sent a second time, some milliseconds later; 0: none is.
+pub fn serve(address: &str, log: &str, spoil_each: &str) -> io::Result<()> {
+    let spoil_each: usize = spoil_each.parse().map_err(io::Error::other)?;
     let listener = TcpListener::bind(address)?;
     let log = Arc::new(Mutex::new(fs::OpenOptions::new().append(true).open(log)?));
     for stream in listener.incoming() {
         let (stream, log) = (stream?, log.clone());
-        thread::spawn(move || serve_connection(stream, &log));
+        thread::spawn(move || serve_connection(stream, &log, spoil_each));
     }
     Ok(())
 }
 
-fn serve_connection(stream: TcpStream, log: &Mutex<File>) -> io::Result<()> {
+fn serve_connection(stream: TcpStream, log: &Mutex<File>, spoil_each: usize) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(ENDPOINT_IDLE))?;
     let mut reader = BufReader::with_capacity(64 << 10, stream.try_clone()?);
@@ -50,12 +59,16 @@
         let size: usize = size.and_then(|digits| digits.parse().ok()).unwrap_or(0);
         let mut answer = format!("answer to {id}\n").into_bytes();
         answer.resize(answer.len().max(size), b'.');
-        write!(
-            writer,
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
-            answer.len()
-        )?;
-        writer.write_all(&answer)?;
+        let length = answer.len();
+        let mut message =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+        message.extend_from_slice(&answer);
+        writer.write_all(&message)?;
+        let number = ANSWERS.fetch_add(1, Ordering::Relaxed) + 1;
+        if spoil_each > 0 && number % spoil_each == 0 {
+            thread::sleep(SECOND_ANSWER_AFTER);
+            writer.write_all(&message)?;
+        }
     }
     Ok(())
 }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,7 +7,7 @@
 mod endpoint;
 mod half_written;
 mod hung_upload;
-mod slow_readers;
+mod second_answer;
 
 use std::path::{Path, PathBuf};
 use std::process::exit;
@@ -21,7 +21,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     exit(match arguments[..] {
-        ["endpoint", address, log] => match endpoint::serve(address, log) {
+        ["endpoint", address, log, spoil_each] => match endpoint::serve(address, log, spoil_each) {
             Ok(()) => common::HELD,
             Err(_) => common::COULD_NOT_RUN,
         },
@@ -56,7 +56,7 @@
     match case {
         "hung-upload" => hung_upload::play(folder),
         "half-written" => half_written::play(folder),
-        "slow-readers" => slow_readers::play(folder),
+        "second-answer" => second_answer::play(folder),
         _ => Err(std::io::Error::other("no such case")),
     }
 }
