--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -347,9 +347,8 @@
 
 /// Sends a signal to a process that the case has started.
 pub fn signal(name: &str, pid: u32) {
-    let _ = Command::new("kill")
-        .args([&format!("-{name}"), &pid.to_string()])
-        .status();
+    let command = format!("kill -{name} {pid}");
+    let _ = Command::new("/bin/sh").args(["-c", &command]).status();
 }
 
 /// Ends the processes that a case has started when it is dropped.
