Trace when an attempt waits for its endpoint to read its request

The request trace could not tell what an unanswered request was waiting for: after 'attempt started' it said nothing, whether the client's bytes, the endpoint's reading or its response was missing.

The write guard now reports when writing an attempt begins to wait for its endpoint and when it goes on, with the bytes written and the time waited, and the record says when the request's body is complete.

--- a/proxy/src/invariants/mod.rs
+++ b/proxy/src/invariants/mod.rs
@@ -57,7 +57,9 @@
 
     /// Records that the request's last byte has arrived, which determines its deadline.
     pub(crate) fn upload_completed(&self, deadline: Instant) {
-        self.history.borrow_mut().deadline = Some(deadline);
+        let mut history = self.history.borrow_mut();
+        tracing::debug!(request = ?history.id, "request body complete");
+        history.deadline = Some(deadline);
     }
 
     /// Creates the record of the request's next attempt, which has not started yet.
@@ -140,6 +142,30 @@
         }
     }
 
+    /// Records that writing the attempt waits for the endpoint to read.
+    pub(crate) fn write_blocked(&self, bytes_written: usize) {
+        let history = self.request.history.borrow();
+        let request = &history.id;
+        tracing::debug!(
+            ?request,
+            attempt = self.index,
+            bytes_written,
+            "attempt waits for its endpoint to read"
+        );
+    }
+
+    /// Records that writing the attempt goes on after it has waited for this time.
+    pub(crate) fn write_unblocked(&self, blocked_for: Duration) {
+        let history = self.request.history.borrow();
+        let request = &history.id;
+        tracing::debug!(
+            ?request,
+            attempt = self.index,
+            ?blocked_for,
+            "endpoint reads on"
+        );
+    }
+
     /// Records that the attempt has ended, and checks its outcome. `is_written`: whether the
     /// attempt was written completely.
     pub(crate) fn ended(&self, outcome: Outcome, is_written: bool) {
--- a/proxy/src/socket/write.rs
+++ b/proxy/src/socket/write.rs
@@ -59,14 +59,19 @@
         if let Poll::Ready(Ok(count)) = written {
             self.0.write_guard.borrow().record_written(*count);
         }
-        let since = self
-            .0
-            .write_blocked_since
-            .get()
-            .unwrap_or_else(Instant::now);
-        self.0
-            .write_blocked_since
-            .set(written.is_pending().then_some(since));
+        let blocked_since = self.0.write_blocked_since.get();
+        match (blocked_since, written.is_pending()) {
+            (None, true) => {
+                self.0.write_blocked_since.set(Some(Instant::now()));
+                self.0.write_guard.borrow().record_write_blocked();
+            }
+            (Some(since), false) => {
+                self.0.write_blocked_since.set(None);
+                let write_guard = self.0.write_guard.borrow();
+                write_guard.record_write_unblocked(since.elapsed());
+            }
+            (None, false) | (Some(_), true) => {}
+        }
     }
 }
 
--- a/proxy/src/write_guard.rs
+++ b/proxy/src/write_guard.rs
@@ -145,6 +145,20 @@
         }
     }
 
+    /// Records that writing waits for the endpoint to read.
+    pub fn record_write_blocked(&self) {
+        if let Some(record) = &self.0.record {
+            record.write_blocked(self.bytes_written());
+        }
+    }
+
+    /// Records that writing goes on after it has waited for this time.
+    pub fn record_write_unblocked(&self, blocked_for: Duration) {
+        if let Some(record) = &self.0.record {
+            record.write_unblocked(blocked_for);
+        }
+    }
+
     /// Records the attempt's outcome.
     pub fn record_outcome(&self, outcome: Outcome) {
         if let Some(record) = &self.0.record {
