End streamed requests when their client's time can have run out

Cause: a streamed request had no deadline until the proxy itself had read the last byte of its body. It reads only as fast as the endpoint takes the body, so behind an endpoint that takes nothing that byte is never read, while the client wrote it long ago: it stands in the system's buffers. The same held while a connection to the endpoint was being opened, as nobody reads the body then.

Change: the deadline is the client's timeout after the earliest time at which its last byte can have arrived. While all that has arrived is read, that byte has not arrived, and the time does not run; while input is unread, it may have, and the time counts as the client's. The socket follows the request's end in its input, so bytes that are sent behind a request no longer move its deadline back. A client that waits for a 100 response waits for the proxy.

Why it works: the deadline no longer depends on an event that the endpoint can prevent. The attempt ends as truncated, so the request is known not to have run and is rejected, and the endpoint is ejected.

--- a/proxy/src/body/upload.rs
+++ b/proxy/src/body/upload.rs
@@ -3,7 +3,7 @@
 use super::memory::{BodyMemory, BufferedBody};
 use super::transfer_timer::TransferTimer;
 use crate::message_limits::MAX_BODY_BYTES;
-use crate::socket::Socket;
+use crate::socket::{RequestArrival, Socket};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Minimum upload rate, measured over the time in which the proxy waits for data. It is below the
 /// lowest rate of a client that does not stall.
@@ -24,6 +24,9 @@
 /// How long the rest of an upload that is no longer needed is read and discarded. Closing the
 /// connection while the client is sending would reset it, and the response could be lost.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often an upload is checked for unread data, which shows whether the proxy waits for the
+/// client.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why the request body of a client did not arrive completely.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -70,6 +73,9 @@
     source: RefCell<UploadSource>,
     socket: Socket,
     length: Option<u64>,
+    head_arrived_at: Instant,
+    /// Whether the client waits for a 100 response, which hyper sends when the body is first read.
+    awaits_continue: Cell<bool>,
     is_consumed: Cell<bool>,
     result: Cell<Option<Result<Instant, UploadError>>>,
     finished: Notify,
@@ -77,8 +83,14 @@
 
 impl Upload {
     /// Creates the upload of a body that arrives on this socket. The first data must arrive by
-    /// `first_data_deadline`.
-    pub(crate) fn new(body: Incoming, socket: Socket, first_data_deadline: Instant) -> Upload {
+    /// `first_data_deadline`. `awaits_continue`: the client waits for a 100 response before it
+    /// sends the body.
+    pub(crate) fn new(
+        body: Incoming,
+        socket: Socket,
+        first_data_deadline: Instant,
+        awaits_continue: bool,
+    ) -> Upload {
         let length = body.size_hint().exact();
         let allowance = first_data_deadline.saturating_duration_since(Instant::now());
         let timer = TransferTimer::new(allowance, MAX_UPLOAD_WAIT, MIN_UPLOAD_BYTES_PER_SECOND);
@@ -90,8 +102,10 @@
         };
         Upload {
             source: RefCell::new(source),
+            head_arrived_at: socket.earliest_arrival(),
             socket,
             length,
+            awaits_continue: Cell::new(awaits_continue),
             is_consumed: Cell::default(),
             result: Cell::default(),
             finished: Notify::default(),
@@ -125,6 +139,40 @@
         }
     }
 
+    /// The earliest time at which the last byte of the body can have arrived. While the proxy waits
+    /// for the client, that byte has not arrived. While the proxy does not read, because the
+    /// request is queued or its endpoint does not read, the client may have sent all of it.
+    pub(crate) fn earliest_completion(&self) -> Instant {
+        match (self.result.get(), self.arrival()) {
+            (Some(Ok(completed_at)), _) => completed_at,
+            (_, RequestArrival::Awaited) => Instant::now(),
+            (_, RequestArrival::PossibleSince(at) | RequestArrival::Complete(at)) => at,
+        }
+    }
+
+    /// Completes once the client may have waited this long for the response since it sent the last
+    /// byte of the body.
+    pub(crate) async fn response_timed_out(&self, response_timeout: Duration) {
+        loop {
+            let deadline = self.earliest_completion() + response_timeout;
+            let now = Instant::now();
+            if now >= deadline {
+                return;
+            }
+            // Data that arrives meanwhile moves the deadline back, never forward.
+            sleep_until(deadline.min(now + ARRIVAL_CHECK_INTERVAL)).await;
+        }
+    }
+
+    /// What is known about the arrival of the last byte. A client that waits for a 100 response
+    /// waits for the proxy, so its timeout counts from the request's head until the proxy reads.
+    fn arrival(&self) -> RequestArrival {
+        if self.awaits_continue.get() {
+            return RequestArrival::PossibleSince(self.head_arrived_at);
+        }
+        self.socket.request_arrival()
+    }
+
     /// Reads the body into memory. Returns `None` if it is too long or not enough memory is
     /// available; the data that was read by then is returned first by the next read.
     pub(crate) async fn buffer(&self, memory: &BodyMemory) -> Result<Option<Bytes>, UploadError> {
@@ -179,13 +227,14 @@
             Some(Err(error)) => return Poll::Ready(Some(Err(error))),
             None => {}
         }
+        self.awaits_continue.set(false);
         let data = ready!(self.source.borrow_mut().poll_data(context));
         match data {
             Some(Err(error)) => self.finish(Err(error)),
-            None => self.finish(Ok(self.socket.earliest_arrival())),
+            None => self.finish(Ok(self.earliest_completion())),
             // With a known length, the body may not be polled again after its last byte.
             Some(Ok(_)) if self.source.borrow().body.is_end_stream() => {
-                self.finish(Ok(self.socket.earliest_arrival()));
+                self.finish(Ok(self.earliest_completion()));
             }
             Some(Ok(_)) => {}
         }
--- a/proxy/src/control/attempt.rs
+++ b/proxy/src/control/attempt.rs
@@ -8,7 +8,6 @@
 use crate::upstream::{self, AttemptEnd, Connection, ExchangeContext};
 use crate::write_guard::WriteGuard;
 use balancer::Outcome;
-use std::future::pending;
 use std::rc::Rc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
@@ -19,7 +18,8 @@
     /// The endpoint process that the attempt is sent to.
     pub(super) process: EndpointProcess,
     pub(super) forwarded: Rc<ForwardedRequest>,
-    /// When the attempt times out. Does not apply while the request's body is still being uploaded.
+    /// When the attempt times out. Does not apply if the request's body is streamed: then the
+    /// deadline depends on when the last byte can have arrived.
     pub(super) deadline: Instant,
     pub(super) write_guard: WriteGuard,
 }
@@ -65,21 +65,14 @@
         }
     }
 
-    /// Completes at the attempt's deadline. During an upload the deadline is not known, because it
-    /// depends on when the last byte arrives. If the upload fails, this future never completes:
-    /// `downstream::forward` drops the request's `PendingReply`, which cancels the attempt.
+    /// Completes at the attempt's deadline, which moves while a streamed body arrives. If the upload
+    /// fails, `downstream::forward` drops the request's `PendingReply`, which cancels the attempt.
     async fn deadline_passed(&self) {
-        let deadline = match self.forwarded.body.upload() {
-            None => self.deadline,
-            Some(upload) => match upload.finished().await {
-                Ok(completed_at) => {
-                    let deadline = completed_at + self.forwarded.response_timeout;
-                    self.control.state().shutdown.limit_deadline(deadline)
-                }
-                Err(_) => pending().await,
-            },
-        };
-        sleep_until(deadline).await;
+        let forwarded = &self.forwarded;
+        match forwarded.body.upload() {
+            None => sleep_until(self.deadline).await,
+            Some(upload) => upload.response_timed_out(forwarded.response_timeout).await,
+        }
     }
 
     fn timeout_outcome(&self) -> Outcome {
--- a/proxy/src/control/request.rs
+++ b/proxy/src/control/request.rs
@@ -45,10 +45,11 @@
         // While the body is streamed, `deadline` is provisional. The client's timeout starts when
         // the last byte arrives, which may have happened although the byte has not been read. So
         // the advertised time is computed from the earliest time at which it can have arrived.
-        let deadline = if self.is_complete() {
-            deadline
-        } else {
-            self.client.earliest_arrival() + self.response_timeout
+        let deadline = match self.body.upload() {
+            Some(upload) if !self.is_complete() => {
+                upload.earliest_completion() + self.response_timeout
+            }
+            _ => deadline,
         };
         let time_left = deadline.saturating_duration_since(Instant::now());
         let time_left_ms = time_left.as_millis() as u64;
--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -129,6 +129,7 @@
         request: Request<Incoming>,
     ) -> impl Future<Output = Result<Response<TrackedBody>, Infallible>> {
         let number = self.request_count.replace(self.request_count.get() + 1);
+        self.socket.track_request(number);
         let request_context = RequestContext {
             is_framing_ambiguous: self.socket.is_framing_ambiguous(number),
             read_deadline: self.phase.get().read_deadline(&self.socket),
--- a/proxy/src/downstream/forward.rs
+++ b/proxy/src/downstream/forward.rs
@@ -52,7 +52,9 @@
         response_timeout,
         client: client.clone(),
     };
-    let metadata = request_metadata(valid, deadline(upload, response_timeout));
+    // Provisional while the body is still arriving.
+    let deadline = upload.earliest_completion() + response_timeout;
+    let metadata = request_metadata(valid, deadline);
     let mut pending = control
         .submit_request(metadata, forwarded)
         .ok_or(RequestError::DuplicateId)?;
@@ -81,15 +83,6 @@
     }))
 }
 
-/// When the request must be answered. The timeout starts when the last byte of the request arrives;
-/// while the body is still arriving, this deadline is provisional.
-fn deadline(upload: &Upload, response_timeout: Duration) -> Instant {
-    match upload.result() {
-        Some(Ok(completed_at)) => completed_at + response_timeout,
-        _ => Instant::now() + response_timeout,
-    }
-}
-
 fn request_metadata(valid: ValidRequest, deadline: Instant) -> RequestMetadata {
     let ValidRequest {
         id,
--- a/proxy/src/downstream/headers.rs
+++ b/proxy/src/downstream/headers.rs
@@ -39,6 +39,13 @@
     value.to_str().ok()
 }
 
+/// Whether the client waits for a 100 response before it sends the body.
+pub(super) fn expects_continue(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::EXPECT)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 /// Removes the hop-by-hop headers, which must not be forwarded.
 pub(super) fn remove_hop_by_hop(mut headers: HeaderMap) -> HeaderMap {
     let connection = headers
--- a/proxy/src/downstream/service.rs
+++ b/proxy/src/downstream/service.rs
@@ -1,6 +1,7 @@
 //! Routes each client request by its path and builds its response.
 
 use super::forward::forward;
+use super::headers;
 use super::request::RequestError;
 use super::response::{empty, error_and_close, forwarded, rejected};
 use crate::body::{ResponseBody, Upload};
@@ -45,7 +46,9 @@
         is_framing_ambiguous,
     } = request_context;
     let (head, body) = request.into_parts();
-    let upload = Rc::new(Upload::new(body, socket.clone(), read_deadline));
+    let awaits_continue = headers::expects_continue(&head.headers);
+    let upload = Upload::new(body, socket.clone(), read_deadline, awaits_continue);
+    let upload = Rc::new(upload);
     let response = match head.uri.path() {
         _ if is_framing_ambiguous => invalid_request(&control, RequestError::AmbiguousFraming),
         HEALTH_PATH if control.is_ready() => empty(StatusCode::OK),
--- a/proxy/src/socket/framing.rs
+++ b/proxy/src/socket/framing.rs
@@ -48,6 +48,8 @@
     head: HeadFraming,
     /// Number of heads that were parsed completely.
     complete_heads: u64,
+    /// Number of messages that were parsed completely.
+    complete_messages: u64,
     /// The zero-based number of the first message whose end is ambiguous.
     first_ambiguous: Option<u64>,
 }
@@ -59,6 +61,11 @@
         self.first_ambiguous.is_some_and(|first| number >= first)
     }
 
+    /// Whether the last byte of the message with this zero-based number has arrived.
+    pub(super) fn is_complete(&self, number: u64) -> bool {
+        number < self.complete_messages
+    }
+
     /// Whether no part of an incomplete message has arrived.
     pub(super) fn is_between_messages(&self) -> bool {
         matches!(self.state, State::Head) && !self.head.has_begun && self.line.is_empty()
@@ -71,10 +78,10 @@
                 State::Unknown => return,
                 State::Body(remaining) => {
                     let count = prefix_len(bytes, remaining);
-                    self.state = match remaining - count as u64 {
-                        0 => State::Head,
-                        remaining => State::Body(remaining),
-                    };
+                    match remaining - count as u64 {
+                        0 => self.end_message(),
+                        remaining => self.state = State::Body(remaining),
+                    }
                     count
                 }
                 State::Chunk(remaining) => {
@@ -118,22 +125,27 @@
                 }
             }
             State::ChunkEnd => self.state = State::ChunkSize,
-            State::Trailer if line.is_empty() => self.state = State::Head,
+            State::Trailer if line.is_empty() => self.end_message(),
             _ => {}
         }
     }
 
+    fn end_message(&mut self) {
+        self.state = State::Head;
+        self.complete_messages += 1;
+    }
+
     fn end_head(&mut self) {
         let head = std::mem::take(&mut self.head);
-        self.state = match (&head.content_lengths[..], &head.transfer_codings[..]) {
-            ([] | [Some(0)], []) => State::Head,
-            ([Some(length)], []) => State::Body(*length),
-            ([], [true]) => State::ChunkSize,
+        match (&head.content_lengths[..], &head.transfer_codings[..]) {
+            ([] | [Some(0)], []) => self.end_message(),
+            ([Some(length)], []) => self.state = State::Body(*length),
+            ([], [true]) => self.state = State::ChunkSize,
             _ => {
                 self.first_ambiguous = Some(self.complete_heads);
-                State::Unknown
+                self.state = State::Unknown;
             }
-        };
+        }
         self.complete_heads += 1;
     }
 }
--- a/proxy/src/socket/mod.rs
+++ b/proxy/src/socket/mod.rs
@@ -6,10 +6,14 @@
 mod framing;
 mod lingering_close;
 mod read;
+mod request_arrival;
 mod stream;
 mod write;
 
+pub(crate) use request_arrival::RequestArrival;
+
 use crate::socket::framing::Framing;
+use crate::socket::request_arrival::TrackedRequest;
 use crate::write_guard::WriteGuard;
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -43,6 +47,8 @@
     /// The parser for the boundaries of incoming messages; `None` for a connection to an endpoint
     /// or to discovery.
     framing: Option<RefCell<Framing>>,
+    /// The request that was last tracked by [`Socket::track_request`].
+    tracked_request: Cell<Option<TrackedRequest>>,
 }
 
 /// The number and times of reads from a stream.
@@ -117,6 +123,7 @@
             reads: ReadHistory::new(),
             write_blocked_since: Cell::new(None),
             framing,
+            tracked_request: Cell::new(None),
         }))
     }
 
--- a/proxy/src/socket/read.rs
+++ b/proxy/src/socket/read.rs
@@ -44,6 +44,7 @@
         if has_waited {
             reads.earliest_arrival.set(now);
         }
+        self.note_request_end();
     }
 
     /// The result of a read after the owner has closed the stream. For a client it is end of
--- /dev/null
+++ b/proxy/tests/uploads.rs
@@ -0,0 +1,99 @@
+//! When a request with a large body gets its reply, whoever stops reading or sending meanwhile.
+
+mod common;
+
+use common::*;
+use std::slice::from_ref;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Fits into the buffers between a client and an endpoint that reads nothing, but not into those
+/// between the proxy and that endpoint.
+const BODY_BYTES: usize = 5_000_000;
+/// Fits into the buffers between a client and a proxy that does not read it.
+const UNREAD_BODY_BYTES: usize = 1_000_000;
+/// A reply that is later than the client's timeout by more than this counts as lost.
+const REPLY_SLACK: Duration = Duration::from_millis(500);
+
+fn large_request(timeout_ms: &str) -> String {
+    upload(BODY_BYTES, timeout_ms)
+}
+
+fn upload(body_bytes: usize, timeout_ms: &str) -> String {
+    request("unsafe", "", &"b".repeat(body_bytes)).replace("8000", timeout_ms)
+}
+
+/// Guards against a request that never gets its reply: its endpoint takes the connection and reads
+/// nothing or only part of the body, so the proxy never reads the last byte, which its client sent
+/// long ago.
+#[test]
+fn a_request_is_answered_in_time_if_its_endpoint_does_not_read_its_body() {
+    let responses = [
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ];
+    for response in responses {
+        run_test(async {
+            let (endpoint, listener) = manual_endpoint().await;
+            let silent = spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.expect("accept failed");
+                stream
+                    .write_all(response.as_bytes())
+                    .await
+                    .expect("write failed");
+                std::future::pending::<()>().await;
+            });
+            let proxy = Proxy::start(from_ref(&endpoint)).await;
+            let mut client = proxy.client().await;
+            client.send(&large_request("1000")).await;
+            let sent_at = Instant::now();
+            let reply = timeout(Duration::from_secs(1) + REPLY_SLACK, client.receive()).await;
+            let reply = reply.unwrap_or_else(|_| panic!("no reply after {:?}", sent_at.elapsed()));
+            // The request has not run, as its endpoint has not received its last byte.
+            assert_eq!(reply.expect("no response").status(), 503, "{response:?}");
+            silent.abort();
+        });
+    }
+}
+
+/// Guards against a reply that is late because the connection to the endpoint does not open: the
+/// body is not read meanwhile, although its client may have sent all of it.
+#[test]
+fn a_request_with_a_large_body_is_answered_in_time_if_no_connection_opens() {
+    run_test(async {
+        let (endpoint, _backlog, _listener) = endpoint_with_full_backlog().await;
+        let proxy = Proxy::start(from_ref(&endpoint)).await;
+        let mut client = proxy.client().await;
+        client.send(&upload(UNREAD_BODY_BYTES, "300")).await;
+        let reply = timeout(Duration::from_millis(300) + REPLY_SLACK, client.receive()).await;
+        let reply = reply.expect("no reply in time").expect("no response");
+        assert_eq!(reply.status(), 503);
+    });
+}
+
+/// Guards against an endpoint that reads nothing and stays in use: uploads to it must fail, and
+/// other requests must not wait for it.
+#[test]
+fn an_endpoint_that_does_not_read_bodies_is_ejected_after_its_uploads_have_timed_out() {
+    run_test(async {
+        let (silent, _listener) = manual_endpoint().await;
+        let endpoint = TestEndpoint::start([ok("served")]).await;
+        let endpoints = [silent, endpoint];
+        let (proxy, admin) = start_with_admin(&endpoints, |_| ()).await;
+        let mut statuses = Vec::new();
+        while metrics(admin).await["members_unavailable"] == 0 {
+            assert!(statuses.len() < 20, "not ejected, replies: {statuses:?}");
+            let mut client = proxy.client().await;
+            client.send(&large_request("200")).await;
+            statuses.push(client.receive().await.expect("no response").status());
+        }
+        assert_eq!(*statuses.last().expect("no replies"), 503, "{statuses:?}");
+        for _ in 0..5 {
+            let reply = proxy.client().await.exchange(&large_request("2000")).await;
+            assert_eq!(reply.status(), 200);
+        }
+    });
+}
