End requests of clients that stop in a body that nobody reads at present

Callers beside it saw a connection taken for as long as the request lasted: a client that stopped in the middle of a large body while its request was queued got no answer within the 3 s that such clients are owed, but only at the end of its request's time (here over 3 s of 8 s).

Cause: the timer of an upload ran only while an attempt read it. A queued request has no reader, and neither has one whose endpoint does not read.

Change: while the reply to a streamed request is awaited, the proxy checks every 50 ms whether all that has arrived was read. From the last read on the client then has what is left of its allowance, as with a reader. A client that waits for a 100 response has not stalled.

Measured: the new test on a stalled client fails on the commit before (no reply within 3 s) and passes now; the one on the 100 response fails with that exception taken out (the client gets 408) and passes with it. All tests of the proxy pass.

--- a/proxy/src/body/transfer_timer.rs
+++ b/proxy/src/body/transfer_timer.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// The remaining time, as of the last wait that has ended.
+    pub(super) fn allowance(&self) -> Duration {
+        self.allowance
+    }
+
     /// Ends the current wait, if there is one, as of the instant that `until` returns, and deducts
     /// its duration from the allowance.
     pub(super) fn stop_waiting(&mut self, until: impl FnOnce() -> Instant) {
--- a/proxy/src/body/upload.rs
+++ b/proxy/src/body/upload.rs
@@ -145,7 +145,7 @@
     pub(crate) fn earliest_completion(&self) -> Instant {
         match (self.result.get(), self.arrival()) {
             (Some(Ok(completed_at)), _) => completed_at,
-            (_, RequestArrival::Awaited) => Instant::now(),
+            (_, RequestArrival::Awaited(_)) => Instant::now(),
             (_, RequestArrival::PossibleSince(at) | RequestArrival::Complete(at)) => at,
         }
     }
@@ -164,6 +164,24 @@
         }
     }
 
+    /// Completes once the client has kept the proxy waiting for too long, and fails the upload.
+    /// Unlike [`Upload::poll_data`] this also notices a client that stalls while nobody reads the
+    /// upload.
+    pub(crate) async fn client_stalled(&self) {
+        loop {
+            let now = Instant::now();
+            let waiting_since = match self.arrival() {
+                RequestArrival::Awaited(since) => since,
+                RequestArrival::PossibleSince(_) | RequestArrival::Complete(_) => now,
+            };
+            let stalled_at = waiting_since + self.source.borrow().timer.allowance();
+            if now >= stalled_at {
+                return self.finish(Err(UploadError::TooSlow));
+            }
+            sleep_until(stalled_at.min(now + ARRIVAL_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// What is known about the arrival of the last byte. A client that waits for a 100 response
     /// waits for the proxy, so its timeout counts from the request's head until the proxy reads.
     fn arrival(&self) -> RequestArrival {
--- a/proxy/src/downstream/forward.rs
+++ b/proxy/src/downstream/forward.rs
@@ -2,7 +2,7 @@
 
 use super::headers::remove_hop_by_hop;
 use super::request::{validate, RequestError, ValidRequest};
-use crate::body::{RequestBody, Upload};
+use crate::body::{RequestBody, Upload, UploadError};
 use crate::control::request::{ForwardedRequest, Reply, RequestMetadata};
 use crate::control::{Control, PendingReply};
 use crate::socket::Socket;
@@ -116,6 +116,7 @@
             pending.upload_completed(deadline.saturating_duration_since(Instant::now()));
         }
         reply = pending.reply() => return Ok(reply),
+        () = upload.client_stalled() => return Err(UploadError::TooSlow.into()),
         // The endpoint has not executed the request, as its body is incomplete.
         () = control.wait_for_request_cutoff() => return Ok(control.reject(class)),
     }
--- a/proxy/src/socket/request_arrival.rs
+++ b/proxy/src/socket/request_arrival.rs
@@ -8,8 +8,8 @@
 /// What is known about the arrival of a request's last byte.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestArrival {
-    /// It has not arrived: all that has arrived of the request was read.
-    Awaited,
+    /// It has not arrived. All that has arrived was read at this time or before.
+    Awaited(Instant),
     /// It may have arrived at any time since this one: the proxy has not read all input.
     PossibleSince(Instant),
     /// It has been read, and arrived at this time at the earliest.
@@ -46,7 +46,7 @@
         let reads = &self.0.reads;
         if reads.is_waiting.get() || self.has_no_unread_input() {
             reads.earliest_arrival.set(Instant::now());
-            return RequestArrival::Awaited;
+            return RequestArrival::Awaited(reads.last_at.get());
         }
         RequestArrival::PossibleSince(reads.earliest_arrival.get())
     }
--- a/proxy/src/socket/request_arrival/tests.rs
+++ b/proxy/src/socket/request_arrival/tests.rs
@@ -39,7 +39,10 @@
 #[tokio::test]
 async fn unread_input_may_contain_the_last_byte_of_a_request() {
     let (socket, mut peer) = request_with_head().await;
-    assert!(matches!(socket.request_arrival(), RequestArrival::Awaited));
+    assert!(matches!(
+        socket.request_arrival(),
+        RequestArrival::Awaited(_)
+    ));
     let before = Instant::now();
     peer.write_all(b"ab").expect("written");
     let RequestArrival::PossibleSince(since) = socket.request_arrival() else {
@@ -50,7 +53,10 @@
         "the input may have arrived since {before:?}"
     );
     read(&socket).await;
-    assert!(matches!(socket.request_arrival(), RequestArrival::Awaited));
+    assert!(matches!(
+        socket.request_arrival(),
+        RequestArrival::Awaited(_)
+    ));
 }
 
 /// What a client sends behind its request must not move the request's deadline back.
@@ -70,5 +76,8 @@
     tokio::join!(biased; waiting, writing);
     assert_eq!(socket.request_arrival(), arrival);
     socket.track_request(1);
-    assert!(matches!(socket.request_arrival(), RequestArrival::Awaited));
+    assert!(matches!(
+        socket.request_arrival(),
+        RequestArrival::Awaited(_)
+    ));
 }
--- a/proxy/tests/uploads.rs
+++ b/proxy/tests/uploads.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Fits into the buffers between a client and an endpoint that reads nothing, but not into those
 /// between the proxy and that endpoint.
@@ -16,6 +16,8 @@
 const UNREAD_BODY_BYTES: usize = 1_000_000;
 /// A reply that is later than the client's timeout by more than this counts as lost.
 const REPLY_SLACK: Duration = Duration::from_millis(500);
+/// A client that stops in the middle of a request gets an error or a close within this time.
+const STALLED_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
 fn large_request(timeout_ms: &str) -> String {
     upload(BODY_BYTES, timeout_ms)
@@ -97,3 +99,65 @@
         }
     });
 }
+
+/// A proxy without ready endpoints, so that requests are queued, and what makes its endpoint ready.
+struct QueueingProxy {
+    proxy: Proxy,
+    discovery: TestDiscovery,
+    endpoint: TestEndpoint,
+}
+
+impl QueueingProxy {
+    async fn start() -> QueueingProxy {
+        let endpoint = TestEndpoint::start([ok("served")]).await;
+        let draining = endpoint_entry("s-0", endpoint.address, "Terminating");
+        let draining = endpoint_list(42, true, &[draining]);
+        let discovery = TestDiscovery::start([format!("{WATCH_HEAD}{}", chunk(&draining))]).await;
+        let proxy = Proxy::start_with(&discovery, &[], |_| ()).await;
+        QueueingProxy {
+            proxy,
+            discovery,
+            endpoint,
+        }
+    }
+
+    async fn make_endpoint_ready(&self) {
+        let ready = endpoint_entry("s-0", self.endpoint.address, "Ready");
+        let ready = endpoint_list(43, false, &[ready]);
+        self.discovery.push(&chunk(&ready)).await;
+    }
+}
+
+/// Guards against a client that stops in the middle of a body, and keeps its connection for as long
+/// as its request is queued: nobody reads the upload then.
+#[test]
+fn a_client_that_stalls_in_a_body_while_its_request_is_queued_gets_a_408_within_3_s() {
+    run_test(async {
+        let queueing = QueueingProxy::start().await;
+        let mut client = queueing.proxy.client().await;
+        let text = large_request("8000");
+        client.send(&text[..2_000]).await;
+        let reply = timeout(STALLED_CLIENT_TIMEOUT, client.receive()).await;
+        let reply = reply.expect("no reply within 3 s").expect("no response");
+        assert_eq!(reply.status(), 408);
+        assert_eq!(queueing.endpoint.request_count(), 0);
+    });
+}
+
+/// Guards against blaming a client for the proxy's own wait: a client that expects a 100 response
+/// sends nothing before it has got one, and the proxy sends that only once it reads the body.
+#[test]
+fn a_queued_client_that_waits_for_a_100_response_has_not_stalled() {
+    run_test(async {
+        let queueing = QueueingProxy::start().await;
+        let mut client = queueing.proxy.client().await;
+        let body = "b".repeat(100_000);
+        let headers = format!("Expect: 100-continue\r\nContent-Length: {}\r\n", body.len());
+        client.send(&request("unsafe", &headers, "")).await;
+        sleep(STALLED_CLIENT_TIMEOUT).await;
+        queueing.make_endpoint_ready().await;
+        let interim = client.receive().await.expect("no interim response");
+        assert_eq!(interim.status(), 100);
+        assert_eq!(client.exchange(&body).await.status(), 200);
+    });
+}
