Count a request at its endpoint while it is still being written

Cause: an attempt whose request is still arriving was counted nowhere, so an endpoint that reads nothing looked idle beside those that were at work, and got more than its share.

Change: an endpoint counts such attempts apart, and the choice between two endpoints compares both counts together. The concurrency limits still count complete requests only, as a slow client must not use up an endpoint's capacity (test a_request_that_is_still_arriving_takes_no_capacity_and_has_no_deadline). Listed endpoints that left are kept while an upload is out at them, as for others.

--- a/balancer/src/endpoint.rs
+++ b/balancer/src/endpoint.rs
@@ -31,7 +31,10 @@
     pub(crate) listed_start: Micros,
     /// When its process started by this balancer's clock, as estimated.
     pub(crate) local_start: Micros,
+    /// Number of attempts that it may be working on: those that are not still being uploaded.
     pub(crate) in_flight: u32,
+    /// Number of attempts whose request is still arriving and being written to it.
+    pub(crate) uploading: u32,
     pub(crate) limit: ConcurrencyLimit,
     pub(crate) weight: f64,
     /// Exponentially decaying sum of the time that its attempts took, in microseconds.
@@ -112,6 +115,12 @@
         self.warm_up_fraction(now, slow_start) >= 1.0
     }
 
+    /// Number of attempts that are out at it, also while they are being written: an endpoint that
+    /// does not read would otherwise look idle.
+    pub(crate) fn outstanding(&self) -> u32 {
+        self.in_flight + self.uploading
+    }
+
     pub(crate) fn is_ejected(&self) -> bool {
         self.limit.steps == 0
     }
--- a/balancer/src/endpoints.rs
+++ b/balancer/src/endpoints.rs
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Removes endpoints that are not ready and have no requests in flight.
+    /// Removes endpoints that are not ready and have no attempts out at them.
     pub(crate) fn remove_unused(&mut self) {
         self.sorted
-            .retain(|endpoint| endpoint.is_ready || endpoint.in_flight > 0);
+            .retain(|endpoint| endpoint.is_ready || endpoint.outstanding() > 0);
     }
 
     /// Recounts the ready endpoints and those of them that are ejected. Returns the number of
--- a/balancer/src/feedback.rs
+++ b/balancer/src/feedback.rs
@@ -58,7 +58,7 @@
         actions: &mut Vec<Action>,
     ) {
         if attempt.is_uploading {
-            self.count_in_flight(now, &attempt);
+            self.count_uploaded(now, &attempt);
         }
         let ended = self.ended_attempt(now, attempt, outcome, reported_elapsed);
         self.update_shared_limit(&ended);
--- a/balancer/src/forwarding.rs
+++ b/balancer/src/forwarding.rs
@@ -49,6 +49,8 @@
         request.attempts.push(attempt);
         if !attempt.is_uploading {
             self.count_in_flight(now, &attempt);
+        } else if let Some(endpoint) = self.endpoint_of_attempt(&attempt) {
+            endpoint.uploading += 1;
         }
         actions.push(Action::Forward {
             request: id,
@@ -71,13 +73,17 @@
         }
     }
 
+    /// The endpoint of an attempt; `None` if it is no longer kept or has restarted since.
+    fn endpoint_of_attempt(&mut self, attempt: &Attempt) -> Option<&mut Endpoint> {
+        let index = self.endpoints.index_of(attempt.endpoint)?;
+        let endpoint = &mut self.endpoints[index];
+        (endpoint.listed_start == attempt.endpoint_listed_start).then_some(endpoint)
+    }
+
     /// Counts an attempt as in flight at its endpoint and under the shared limit.
-    pub(crate) fn count_in_flight(&mut self, now: Micros, attempt: &Attempt) {
-        if let Some(index) = self.endpoints.index_of(attempt.endpoint) {
-            let endpoint = &mut self.endpoints[index];
-            if endpoint.listed_start == attempt.endpoint_listed_start {
-                endpoint.in_flight += 1;
-            }
+    fn count_in_flight(&mut self, now: Micros, attempt: &Attempt) {
+        if let Some(endpoint) = self.endpoint_of_attempt(attempt) {
+            endpoint.in_flight += 1;
         }
         let mean_latency = self.mean_latency_of_attempt(attempt);
         if let Some(shared_limit) = &mut self.shared_limit {
@@ -85,6 +91,14 @@
         }
     }
 
+    /// Counts an attempt whose upload has ended as in flight.
+    pub(crate) fn count_uploaded(&mut self, now: Micros, attempt: &Attempt) {
+        if let Some(endpoint) = self.endpoint_of_attempt(attempt) {
+            endpoint.uploading = endpoint.uploading.saturating_sub(1);
+        }
+        self.count_in_flight(now, attempt);
+    }
+
     /// Mean latency of an attempt's class, in microseconds.
     pub(crate) fn mean_latency_of_attempt(&self, attempt: &Attempt) -> f64 {
         let class = self.settings.classes.get(attempt.class_id);
--- a/balancer/src/request_lifecycle.rs
+++ b/balancer/src/request_lifecycle.rs
@@ -23,7 +23,7 @@
         attempt.is_uploading = false;
         attempt.sent_at = now;
         let attempt = *attempt;
-        self.count_in_flight(now, &attempt);
+        self.count_uploaded(now, &attempt);
     }
 
     /// Brings the deadlines of all requests, queued ones included, forward to `deadline` if they
--- a/balancer/src/selection.rs
+++ b/balancer/src/selection.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    /// The better of two random endpoints: the one with fewer requests in flight, then the one in
+    /// The better of two random endpoints: the one with fewer requests out at it, then the one in
     /// this balancer's zone, then the one with less latency pressure. Under a shared limit most
     /// choices are ties, because a balancer usually has less than one request in flight per
     /// endpoint; preferring its own zone would overload a zone that has more balancers than
@@ -159,7 +159,7 @@
                 let is_remote = self.settings.zone.is_some_and(|zone| zone != endpoint.zone);
                 (is_remote, endpoint.latency_pressure)
             };
-            (endpoint.in_flight, is_less_preferred, tie_breaker)
+            (endpoint.outstanding(), is_less_preferred, tie_breaker)
         };
         Some(if load(second) < load(first) {
             second
--- a/balancer/tests/uploads.rs
+++ b/balancer/tests/uploads.rs
@@ -78,3 +78,30 @@
         1
     );
 }
+
+/// Guards against an endpoint that looks idle while it does not read the requests that are being
+/// written to it, and so is sent more than its share: an upload counts there from its start to its
+/// end, however it ends.
+#[test]
+fn an_endpoint_with_an_upload_is_not_preferred_to_an_idle_one() {
+    for outcome in [Outcome::Truncated, Outcome::Cancelled, Outcome::Served] {
+        let mut proxy = Proxy::new(settings(Idempotency::NonIdempotent), 2);
+        let uploading = forwarded(&receive_upload(&mut proxy, 0))[0].1;
+        for _ in 0..16 {
+            let (request, actions) = proxy.request();
+            assert_ne!(forwarded(&actions), [(request, uploading)]);
+            proxy.now += MS;
+            proxy.end_attempt(request, 0, Outcome::Served, MS);
+        }
+        proxy.end_attempt(RequestId(1_000), 0, outcome, 0);
+        // An endpoint that did not take a whole request gets a trial once its backoff is over.
+        proxy.now += 20_000 * MS;
+        let is_used_again = (0..64).any(|_| {
+            let (request, actions) = proxy.request();
+            proxy.now += MS;
+            proxy.end_attempt(request, 0, Outcome::Served, MS);
+            forwarded(&actions) == [(request, uploading)]
+        });
+        assert!(is_used_again, "after {outcome:?}");
+    }
+}
