Count requests whose clients gave up without a reply that was overdue

Change: when a client leaves without a reply more than 0.5 s after it was due, the violation NeverReplied is counted and logged. A body that is still arriving gives the deadline as far as it is known then; late rejections of such requests count as well.

--- a/proxy/src/control/in_flight.rs
+++ b/proxy/src/control/in_flight.rs
@@ -146,12 +146,20 @@
         }
     }
 
+    /// Updates the record of a request whose body is still arriving, and whose deadline moves.
+    pub(super) fn update_record_deadline(&self) {
+        if let Some(deadline) = self.forwarded.provisional_deadline() {
+            self.record.set_provisional_deadline(deadline);
+        }
+    }
+
     /// Cancels the request because its client has disconnected. Returns `false` if it already had
     /// its reply.
     pub(super) fn cancel(&mut self, id: RequestId, events: &mut VecDeque<Event>) -> bool {
         if self.reply.take().is_none() {
             return false;
         }
+        self.update_record_deadline();
         self.record.client_disconnected();
         events.push_back(Event::RequestCancelled { request: id });
         true
--- a/proxy/src/control/request.rs
+++ b/proxy/src/control/request.rs
@@ -42,15 +42,7 @@
         *message.method_mut() = self.method.clone();
         *message.uri_mut() = self.target.clone();
         *message.headers_mut() = self.headers.clone();
-        // While the body is streamed, `deadline` is provisional. The client's timeout starts when
-        // the last byte arrives, which may have happened although the byte has not been read. So
-        // the advertised time is computed from the earliest time at which it can have arrived.
-        let deadline = match self.body.upload() {
-            Some(upload) if !self.is_complete() => {
-                upload.earliest_completion() + self.response_timeout
-            }
-            _ => deadline,
-        };
+        let deadline = self.provisional_deadline().unwrap_or(deadline);
         let time_left = deadline.saturating_duration_since(Instant::now());
         let time_left_ms = time_left.as_millis() as u64;
         write_guard.record_advertised_time(Duration::from_millis(time_left_ms));
@@ -60,6 +52,13 @@
         message
     }
 
+    /// When the client's timeout may end at the earliest, if the body is still being read: its last
+    /// byte may have arrived although it has not been read. `None` if the body is complete.
+    pub(super) fn provisional_deadline(&self) -> Option<Instant> {
+        let upload = self.body.upload().filter(|_| !self.is_complete())?;
+        Some(upload.earliest_completion() + self.response_timeout)
+    }
+
     /// Whether the request's last byte has arrived, which starts the client's timeout.
     pub(super) fn is_complete(&self) -> bool {
         self.body
--- a/proxy/src/control/request_lifecycle.rs
+++ b/proxy/src/control/request_lifecycle.rs
@@ -146,6 +146,7 @@
                 self.metrics
                     .counters_mut()
                     .request_rejected_or_failed(reason);
+                request.update_record_deadline();
                 request.record.rejected_or_failed(reason);
                 request.record.replied(match reply {
                     Reply::Failed => ReplyKind::Failed,
--- a/proxy/src/invariants/history.rs
+++ b/proxy/src/invariants/history.rs
@@ -50,6 +50,7 @@
 pub(super) struct RequestHistory {
     pub(super) id: HeaderValue,
     policy: RequestPolicy,
+    received_at: Instant,
     /// When the request must have its reply. `None` while its body is still being read.
     pub(super) deadline: Option<Instant>,
     pub(super) attempts: Vec<AttemptHistory>,
@@ -63,17 +64,25 @@
         policy: RequestPolicy,
         deadline: Option<Instant>,
     ) -> RequestHistory {
-        // A pipelined request cannot be answered before the request ahead of it, so its deadline
-        // may have passed already.
-        let deadline = deadline.map(|deadline| deadline.max(Instant::now()));
-        RequestHistory {
+        let mut history = RequestHistory {
             id,
             policy,
-            deadline,
+            received_at: Instant::now(),
+            deadline: None,
             attempts: Vec::new(),
             has_reply: false,
             disconnected_at: None,
+        };
+        if let Some(deadline) = deadline {
+            history.set_deadline(deadline);
         }
+        history
+    }
+
+    /// Sets when the request must have its reply. A pipelined request cannot be answered before the
+    /// request ahead of it, so the deadline may have passed before the request was received.
+    pub(super) fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline.max(self.received_at));
     }
 
     /// Whether the request may safely be repeated at any endpoint.
@@ -95,7 +104,8 @@
             .any(AttemptHistory::may_have_been_executed)
     }
 
-    /// Whether a reply sent now is too late, and the client is still connected.
+    /// Whether a reply sent now is too late, or none was sent although it is overdue, and the client
+    /// is still connected.
     pub(super) fn is_late(&self) -> bool {
         let is_late = |deadline: Instant| Instant::now() > deadline + REPLY_TOLERANCE;
         self.disconnected_at.is_none() && self.deadline.is_some_and(is_late)
--- a/proxy/src/invariants/mod.rs
+++ b/proxy/src/invariants/mod.rs
@@ -59,7 +59,13 @@
     pub(crate) fn upload_completed(&self, deadline: Instant) {
         let mut history = self.history.borrow_mut();
         tracing::debug!(request = ?history.id, "request body complete");
-        history.deadline = Some(deadline);
+        history.set_deadline(deadline);
+    }
+
+    /// Records when the reply to a request is due whose body is still arriving, as far as it is
+    /// known now.
+    pub(crate) fn set_provisional_deadline(&self, deadline: Instant) {
+        self.history.borrow_mut().set_deadline(deadline);
     }
 
     /// Creates the record of the request's next attempt, which has not started yet.
@@ -72,10 +78,14 @@
         }
     }
 
-    /// Records that the client is known to have disconnected.
+    /// Records that the client is known to have disconnected without a reply, and checks that the
+    /// reply was not overdue.
     pub(crate) fn client_disconnected(&self) {
         let mut history = self.history.borrow_mut();
         tracing::debug!(request = ?history.id, "client disconnected");
+        if history.is_late() {
+            self.report(&history, Violation::NeverReplied);
+        }
         history.disconnected_at.get_or_insert_with(Instant::now);
     }
 
--- a/proxy/src/invariants/tests.rs
+++ b/proxy/src/invariants/tests.rs
@@ -176,3 +176,20 @@
         "{AdvertisedTimeTooLong: 2, WrittenButNeverRan: 1, RejectedAfterRun: 1, RepliedLate: 1}";
     assert_eq!(violations(&metrics), all);
 }
+
+/// A client that leaves without a reply is no fault of the proxy unless the reply was overdue.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_disconnects_long_after_its_reply_was_due_is_a_violation() {
+    for (waited, expected) in [(SECOND * 3 / 2, "{}"), (SECOND * 2, "{NeverReplied: 1}")] {
+        let (request, metrics) = request(Idempotency::Idempotent);
+        tokio::time::advance(waited).await;
+        request.client_disconnected();
+        assert_eq!(violations(&metrics), expected, "after {waited:?}");
+    }
+    // A body that is still arriving moves the deadline.
+    let (request, metrics) = request(Idempotency::Idempotent);
+    tokio::time::advance(SECOND * 2).await;
+    request.set_provisional_deadline(Instant::now());
+    request.client_disconnected();
+    assert_eq!(violations(&metrics), "{}");
+}
--- a/proxy/src/metrics/reasons.rs
+++ b/proxy/src/metrics/reasons.rs
@@ -103,6 +103,8 @@
     RejectedAfterRun,
     /// The final reply was too late.
     RepliedLate,
+    /// The client disconnected without a reply, long after the final reply was due.
+    NeverReplied,
     /// A connection with a request in flight was closed although its client was still connected.
     ClosedWithoutReply,
 }
