Leave uploads that wait for their client out of their endpoint's load

Since uploads count at their endpoint, requests avoided the endpoints of the balancer's own zone while slow clients sent to them, although those endpoints had read all that had arrived and were idle.

Change: the proxy reports to the balancer when an upload begins or ceases to wait for its client, checked every 50 ms. It counts at its endpoint from its first byte on, but not while its endpoint has read all that has arrived.

--- a/balancer/src/admission.rs
+++ b/balancer/src/admission.rs
@@ -1,6 +1,7 @@
 //! Which requests are admitted to the pending queue. This depends on how long queued requests have
 //! waited, on the request's priority and on its tenant's quota.
 
+use crate::attempt::UploadState;
 use crate::balancer::Balancer;
 use crate::latency::SLACK_MEAN_LATENCIES;
 use crate::request::Request;
@@ -40,7 +41,11 @@
             arrived_at: now,
             deadline: now.saturating_add(time_left),
             is_non_replayable,
-            is_uploading: is_non_replayable,
+            upload: if is_non_replayable {
+                UploadState::WaitsForEndpoint
+            } else {
+                UploadState::Complete
+            },
             ..Request::default()
         };
         self.requests.insert(id, request);
--- a/balancer/src/attempt.rs
+++ b/balancer/src/attempt.rs
@@ -14,6 +14,24 @@
     Shared,
 }
 
+/// How far a request has been written to its endpoint, as far as the proxy can tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum UploadState {
+    /// It has arrived completely, so the endpoint can work on it.
+    #[default]
+    Complete,
+    /// It is still arriving, and the proxy waits for the endpoint to read.
+    WaitsForEndpoint,
+    /// It is still arriving, and the proxy waits for the client to send.
+    WaitsForClient,
+}
+
+impl UploadState {
+    pub(crate) fn is_uploading(self) -> bool {
+        self != UploadState::Complete
+    }
+}
+
 /// An attempt: where and when it was sent, and how it ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
@@ -27,7 +45,7 @@
     pub(crate) sent_at: Micros,
     pub(crate) trial: Trial,
     /// Whether the request is still arriving, so that the endpoint cannot work on it yet.
-    pub(crate) is_uploading: bool,
+    pub(crate) upload: UploadState,
     /// `None` while it is in flight.
     pub(crate) outcome: Option<Outcome>,
 }
--- a/balancer/src/balancer.rs
+++ b/balancer/src/balancer.rs
@@ -111,6 +111,10 @@
             Event::UploadCompleted { request, time_left } => {
                 self.complete_upload(now, request, time_left);
             }
+            Event::UploadWaitChanged {
+                request,
+                waits_for_client,
+            } => self.change_upload_wait(request, waits_for_client),
             Event::ShutdownStarted { time_left } => {
                 self.shorten_deadlines(now, now.saturating_add(time_left));
             }
--- a/balancer/src/endpoint.rs
+++ b/balancer/src/endpoint.rs
@@ -33,7 +33,7 @@
     pub(crate) local_start: Micros,
     /// Number of attempts that it may be working on: those that are not still being uploaded.
     pub(crate) in_flight: u32,
-    /// Number of attempts whose request is still arriving and being written to it.
+    /// Number of attempts that are still being written to it and wait for it to read.
     pub(crate) uploading: u32,
     pub(crate) limit: ConcurrencyLimit,
     pub(crate) weight: f64,
@@ -115,8 +115,7 @@
         self.warm_up_fraction(now, slow_start) >= 1.0
     }
 
-    /// Number of attempts that are out at it, also while they are being written: an endpoint that
-    /// does not read would otherwise look idle.
+    /// Number of attempts that are out at it, also while they are being written.
     pub(crate) fn outstanding(&self) -> u32 {
         self.in_flight + self.uploading
     }
--- a/balancer/src/event.rs
+++ b/balancer/src/event.rs
@@ -92,6 +92,14 @@
         /// Time until its client stops waiting.
         time_left: Micros,
     },
+    /// The upload of a non-replayable request waits for someone else than before. At first it waits
+    /// for its endpoint.
+    UploadWaitChanged {
+        /// The request.
+        request: RequestId,
+        /// Whether it waits for its client: all that has arrived was written to the endpoint.
+        waits_for_client: bool,
+    },
     /// Graceful shutdown has begun.
     ShutdownStarted {
         /// Time until the shutdown ends; no request waits for longer than this.
--- a/balancer/src/feedback.rs
+++ b/balancer/src/feedback.rs
@@ -57,8 +57,8 @@
         reported_elapsed: Micros,
         actions: &mut Vec<Action>,
     ) {
-        if attempt.is_uploading {
-            self.count_uploaded(now, &attempt);
+        if attempt.upload.is_uploading() {
+            self.end_upload(now, &attempt);
         }
         let ended = self.ended_attempt(now, attempt, outcome, reported_elapsed);
         self.update_shared_limit(&ended);
@@ -100,7 +100,7 @@
         reported_elapsed: Micros,
     ) -> EndedAttempt {
         let since_sent = now.saturating_sub(attempt.sent_at);
-        let elapsed = if attempt.is_uploading {
+        let elapsed = if attempt.upload.is_uploading() {
             0.0
         } else {
             reported_elapsed.max(since_sent) as f64
--- a/balancer/src/forwarding.rs
+++ b/balancer/src/forwarding.rs
@@ -15,7 +15,7 @@
         class_id: request.class_id,
         sent_at: now,
         trial,
-        is_uploading: request.is_uploading,
+        upload: request.upload,
         outcome: None,
     }
 }
@@ -47,10 +47,10 @@
             .map(|end| end.saturating_sub(now + clock_resolution));
         let attempt = new_attempt(now, request, endpoint, trial);
         request.attempts.push(attempt);
-        if !attempt.is_uploading {
+        if attempt.upload.is_uploading() {
+            self.count_upload(&attempt);
+        } else {
             self.count_in_flight(now, &attempt);
-        } else if let Some(endpoint) = self.endpoint_of_attempt(&attempt) {
-            endpoint.uploading += 1;
         }
         actions.push(Action::Forward {
             request: id,
@@ -74,14 +74,14 @@
     }
 
     /// The endpoint of an attempt; `None` if it is no longer kept or has restarted since.
-    fn endpoint_of_attempt(&mut self, attempt: &Attempt) -> Option<&mut Endpoint> {
+    pub(crate) fn endpoint_of_attempt(&mut self, attempt: &Attempt) -> Option<&mut Endpoint> {
         let index = self.endpoints.index_of(attempt.endpoint)?;
         let endpoint = &mut self.endpoints[index];
         (endpoint.listed_start == attempt.endpoint_listed_start).then_some(endpoint)
     }
 
     /// Counts an attempt as in flight at its endpoint and under the shared limit.
-    fn count_in_flight(&mut self, now: Micros, attempt: &Attempt) {
+    pub(crate) fn count_in_flight(&mut self, now: Micros, attempt: &Attempt) {
         if let Some(endpoint) = self.endpoint_of_attempt(attempt) {
             endpoint.in_flight += 1;
         }
@@ -91,14 +91,6 @@
         }
     }
 
-    /// Counts an attempt whose upload has ended as in flight.
-    pub(crate) fn count_uploaded(&mut self, now: Micros, attempt: &Attempt) {
-        if let Some(endpoint) = self.endpoint_of_attempt(attempt) {
-            endpoint.uploading = endpoint.uploading.saturating_sub(1);
-        }
-        self.count_in_flight(now, attempt);
-    }
-
     /// Mean latency of an attempt's class, in microseconds.
     pub(crate) fn mean_latency_of_attempt(&self, attempt: &Attempt) -> f64 {
         let class = self.settings.classes.get(attempt.class_id);
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -69,6 +69,7 @@
 mod subset;
 mod tenant_usage;
 mod timers;
+mod uploads;
 mod zone_outages;
 
 pub use action::{Action, LogEvent};
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -1,6 +1,6 @@
 //! The state of a request, kept from its arrival until it is finished and has no attempt in flight.
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, UploadState};
 use crate::endpoint::Endpoint;
 use crate::{Class, DeduplicationScope, EndpointId, Idempotency, Micros, Outcome};
 
@@ -17,7 +17,7 @@
     /// Whether what was sent to one endpoint cannot be sent to another.
     pub(crate) is_non_replayable: bool,
     /// Whether the request is still arriving.
-    pub(crate) is_uploading: bool,
+    pub(crate) upload: UploadState,
     /// Whether no further attempt is needed: its client has a reply, is being sent a response, or
     /// has cancelled the request.
     pub(crate) is_finished: bool,
--- a/balancer/src/request_lifecycle.rs
+++ b/balancer/src/request_lifecycle.rs
@@ -1,31 +1,10 @@
-//! What happens to a request after its arrival: the end of its upload, the ends of its attempts,
-//! and its reply.
+//! What happens to a request after its arrival: the ends of its attempts, and its reply.
 
 use crate::attempt::Attempt;
 use crate::balancer::Balancer;
 use crate::{Action, FailureReason, Micros, Outcome, RequestId};
 
 impl Balancer {
-    /// Handles the last byte of a non-replayable request. The client's deadline and the endpoint's
-    /// work on the request count from now on.
-    pub(crate) fn complete_upload(&mut self, now: Micros, id: RequestId, time_left: Micros) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.is_uploading = false;
-        request.arrived_at = now;
-        request.deadline = now.saturating_add(time_left);
-        let in_flight = request
-            .attempts
-            .iter_mut()
-            .find(|attempt| attempt.is_in_flight());
-        let Some(attempt) = in_flight else { return };
-        attempt.is_uploading = false;
-        attempt.sent_at = now;
-        let attempt = *attempt;
-        self.count_uploaded(now, &attempt);
-    }
-
     /// Brings the deadlines of all requests, queued ones included, forward to `deadline` if they
     /// are later.
     pub(crate) fn shorten_deadlines(&mut self, now: Micros, deadline: Micros) {
--- a/balancer/tests/uploads.rs
+++ b/balancer/tests/uploads.rs
@@ -79,6 +79,23 @@
     );
 }
 
+/// Sends short requests one after the other, and returns whether any goes to this endpoint.
+fn is_sent_requests(proxy: &mut Proxy, endpoint: EndpointId) -> bool {
+    (0..32).any(|_| {
+        let (request, actions) = proxy.request();
+        proxy.now += MS;
+        proxy.end_attempt(request, 0, Outcome::Served, MS);
+        forwarded(&actions) == [(request, endpoint)]
+    })
+}
+
+fn change_upload_wait(proxy: &mut Proxy, waits_for_client: bool) {
+    proxy.handle(Event::UploadWaitChanged {
+        request: RequestId(1_000),
+        waits_for_client,
+    });
+}
+
 /// Guards against an endpoint that looks idle while it does not read the requests that are being
 /// written to it, and so is sent more than its share: an upload counts there from its start to its
 /// end, however it ends.
@@ -87,21 +104,30 @@
     for outcome in [Outcome::Truncated, Outcome::Cancelled, Outcome::Served] {
         let mut proxy = Proxy::new(settings(Idempotency::NonIdempotent), 2);
         let uploading = forwarded(&receive_upload(&mut proxy, 0))[0].1;
-        for _ in 0..16 {
-            let (request, actions) = proxy.request();
-            assert_ne!(forwarded(&actions), [(request, uploading)]);
-            proxy.now += MS;
-            proxy.end_attempt(request, 0, Outcome::Served, MS);
-        }
+        assert!(!is_sent_requests(&mut proxy, uploading));
         proxy.end_attempt(RequestId(1_000), 0, outcome, 0);
         // An endpoint that did not take a whole request gets a trial once its backoff is over.
         proxy.now += 20_000 * MS;
-        let is_used_again = (0..64).any(|_| {
-            let (request, actions) = proxy.request();
-            proxy.now += MS;
-            proxy.end_attempt(request, 0, Outcome::Served, MS);
-            forwarded(&actions) == [(request, uploading)]
-        });
-        assert!(is_used_again, "after {outcome:?}");
+        assert!(is_sent_requests(&mut proxy, uploading), "after {outcome:?}");
+    }
+}
+
+/// Guards against slow clients that make endpoints look busy: an upload counts at its endpoint only
+/// while the endpoint has something to read.
+#[test]
+fn an_upload_that_waits_for_its_client_does_not_count_at_its_endpoint() {
+    // It ends both while it counts and while it does not.
+    for waits_for_client in [false, true] {
+        let mut proxy = Proxy::new(settings(Idempotency::NonIdempotent), 2);
+        let uploading = forwarded(&receive_upload(&mut proxy, 0))[0].1;
+        for _ in 0..2 {
+            change_upload_wait(&mut proxy, true);
+            assert!(is_sent_requests(&mut proxy, uploading));
+            change_upload_wait(&mut proxy, false);
+            assert!(!is_sent_requests(&mut proxy, uploading));
+        }
+        change_upload_wait(&mut proxy, waits_for_client);
+        proxy.end_attempt(RequestId(1_000), 0, Outcome::Cancelled, 0);
+        assert!(is_sent_requests(&mut proxy, uploading));
     }
 }
--- a/proxy/src/body/upload.rs
+++ b/proxy/src/body/upload.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Minimum upload rate, measured over the time in which the proxy waits for data. It is below the
 /// lowest rate of a client that does not stall.
@@ -166,15 +166,23 @@
 
     /// Completes once the client has kept the proxy waiting for too long, and fails the upload.
     /// Unlike [`Upload::poll_data`] this also notices a client that stalls while nobody reads the
-    /// upload.
-    pub(crate) async fn client_stalled(&self) {
+    /// upload. Reports each change of whether the upload waits for its client, which it is taken
+    /// not to do at first.
+    pub(crate) async fn client_stalled(&self, report_wait: impl Fn(bool)) {
+        let mut waits_for_client = false;
+        sleep(ARRIVAL_CHECK_INTERVAL).await;
         loop {
             let now = Instant::now();
-            let waiting_since = match self.arrival() {
-                RequestArrival::Awaited(since) => since,
-                RequestArrival::PossibleSince(_) | RequestArrival::Complete(_) => now,
+            let awaited_since = match self.arrival() {
+                RequestArrival::Awaited(since) => Some(since),
+                RequestArrival::PossibleSince(_) | RequestArrival::Complete(_) => None,
             };
-            let stalled_at = waiting_since + self.source.borrow().timer.allowance();
+            if waits_for_client != awaited_since.is_some() {
+                waits_for_client = !waits_for_client;
+                report_wait(waits_for_client);
+            }
+            let allowance = self.source.borrow().timer.allowance();
+            let stalled_at = awaited_since.unwrap_or(now) + allowance;
             if now >= stalled_at {
                 return self.finish(Err(UploadError::TooSlow));
             }
--- a/proxy/src/control/request_lifecycle.rs
+++ b/proxy/src/control/request_lifecycle.rs
@@ -37,6 +37,17 @@
         reply
     }
 
+    /// Returns a function that reports whether the request's upload waits for its client.
+    pub fn upload_wait_reporter(&self) -> impl Fn(bool) + use<> {
+        let (control, request) = (self.control.clone(), self.request);
+        move |waits_for_client| {
+            control.dispatch([Event::UploadWaitChanged {
+                request,
+                waits_for_client,
+            }]);
+        }
+    }
+
     /// Reports that the request's last byte has arrived: the client waits for `time_left` from now.
     pub fn upload_completed(&mut self, time_left: Duration) {
         if let Some(tracker) = &mut self.tracker {
--- a/proxy/src/downstream/forward.rs
+++ b/proxy/src/downstream/forward.rs
@@ -109,6 +109,7 @@
     response_timeout: Duration,
     class: ClassId,
 ) -> Result<Reply, RequestError> {
+    let report_wait = pending.upload_wait_reporter();
     tokio::select! {
         biased;
         ended = upload.finished() => {
@@ -116,7 +117,7 @@
             pending.upload_completed(deadline.saturating_duration_since(Instant::now()));
         }
         reply = pending.reply() => return Ok(reply),
-        () = upload.client_stalled() => return Err(UploadError::TooSlow.into()),
+        () = upload.client_stalled(report_wait) => return Err(UploadError::TooSlow.into()),
         // The endpoint has not executed the request, as its body is incomplete.
         () = control.wait_for_request_cutoff() => return Ok(control.reject(class)),
     }
