--- a/proxy/src/body/upload.rs
+++ b/proxy/src/body/upload.rs
@@ -159,7 +159,7 @@
             if now >= deadline {
                 return;
             }
-            // Data that arrives meanwhile moves the deadline back, never forward.
+            // The deadline can only become later in the meantime.
             sleep_until(deadline.min(now + ARRIVAL_CHECK_INTERVAL)).await;
         }
     }
