--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 mod restart;
+mod stripped;
 
 use harness::Record;
 use std::path::Path;
@@ -13,6 +14,7 @@
     let record = Record::open(folder);
     match name {
         "restart" => restart::run(&record),
+        "stripped" => stripped::run(&record),
         _ => harness::finish(&record, 2),
     }
 }
