Show that long answers beyond the places for streams are cut off

With 256 descriptors 56 long answers have a place. Further requests are run by their results servers, and their answers are cut off, though clients hold less than a third of the descriptors: 20 of 76.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 //! the folder of its record.
 
 mod harness;
+mod many_answers;
 mod restart;
 mod stripped;
 
@@ -15,6 +16,7 @@
     match name {
         "restart" => restart::run(&record),
         "stripped" => stripped::run(&record),
+        "many-answers" => many_answers::run(&record),
         _ => harness::finish(&record, 2),
     }
 }
