--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod many_answers;
 mod restart;
+mod slow_discovery;
 mod stripped;
 
 use harness::Record;
@@ -17,6 +18,7 @@
         "restart" => restart::run(&record),
         "stripped" => stripped::run(&record),
         "many-answers" => many_answers::run(&record),
+        "slow-discovery" => slow_discovery::run(&record),
         _ => harness::finish(&record, 2),
     }
 }
