--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod many_answers;
 mod restart;
+mod slow_answer;
 mod slow_discovery;
 mod stripped;
 
@@ -16,6 +17,7 @@
     let record = Record::open(folder);
     match name {
         "restart" => restart::run(&record),
+        "slow-answer" => slow_answer::run(&record),
         "stripped" => stripped::run(&record),
         "many-answers" => many_answers::run(&record),
         "slow-discovery" => slow_discovery::run(&record),
