--- a/review/stand-ins-2/harness.rs
+++ b/review/stand-ins-2/harness.rs
@@ -136,6 +136,8 @@
 pub enum Answer {
     /// 200 with the request's id as its body, after this time.
     Serve(Duration),
+    /// The same, and the answer once more this much later.
+    Twice(Duration, Duration),
     /// 200 with this many bytes, in pieces of this size with this pause between them.
     Long { bytes: usize, piece: usize, pause: Duration },
     /// The same without a length: the end of the connection ends it.
@@ -211,6 +213,17 @@
                 let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
                 writer.write_all(text.as_bytes())?;
             }
+            Answer::Twice(after, later) => {
+                thread::sleep(after);
+                let body = &arrival.id;
+                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                writer.write_all(text.as_bytes())?;
+                let mut second = writer.try_clone()?;
+                spawn(move || {
+                    thread::sleep(later);
+                    let _ = second.write_all(text.as_bytes());
+                });
+            }
             Answer::Long { bytes, piece, pause } => {
                 let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {bytes}\r\n\r\n");
                 writer.write_all(text.as_bytes())?;
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,8 +2,8 @@
 //! the folder of its record.
 
 mod harness;
-mod many_answers;
 mod restart;
+mod second_answer;
 mod slow_answer;
 mod slow_discovery;
 mod stripped;
@@ -19,7 +19,7 @@
         "restart" => restart::run(&record),
         "slow-answer" => slow_answer::run(&record),
         "stripped" => stripped::run(&record),
-        "many-answers" => many_answers::run(&record),
+        "second-answer" => second_answer::run(&record),
         "slow-discovery" => slow_discovery::run(&record),
         _ => harness::finish(&record, 2),
     }
