Move the buffering of responses into a module of its own

Cause: upstream/response.rs held both the classification of responses and the reading of their bodies. Change: read_body and ReadBody are in upstream/buffering.rs. No behaviour changes.

--- a/proxy/src/upstream/exchange.rs
+++ b/proxy/src/upstream/exchange.rs
@@ -1,10 +1,9 @@
 //! An exchange: one request and its response on a connection to an endpoint.
 
+use super::buffering::{read_body, ReadBody};
 use super::connection::{Connection, RESPONSE_END_TIMEOUT};
 use super::load_report::load_report;
-use super::response::{
-    classify_error, classify_status, read_body, BodyFraming, ReadBody, ResponseError,
-};
+use super::response::{classify_error, classify_status, BodyFraming, ResponseError};
 use crate::body::{AttemptBody, RequestBody, ResponseBody, StreamedResponse};
 use crate::memory::{MemoryManager, MAX_BUFFERED_BODY_BYTES};
 use crate::write_guard::WriteGuard;
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream side: connections to endpoints, the exchange of a request and its response, and the
 //! outcome that follows from the response.
 
+mod buffering;
 mod connection;
 mod exchange;
 pub(crate) mod idle_timeout;
