Count and trace responses that are given up while they are buffered

Cause: of a request that failed with 502 while its response was arriving, the log had only the outcome TimedOut, which a silent endpoint gives too. Change: metric responses_given_up by framing, and a trace line with framing, buffered bytes and time. BodyFraming has a variant for each framing and is in the balancer, for the decision that will need it.

--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -61,6 +61,7 @@
 mod queue_dispatch;
 mod request;
 mod request_lifecycle;
+mod response_buffering;
 mod retry;
 mod retry_budget;
 mod selection;
@@ -79,6 +80,7 @@
 pub use event::{EndpointEntry, EndpointState, Event, ListUpdate};
 pub use ids::{CellId, ClassId, EndpointId, Micros, RequestId, TenantId, ZoneId};
 pub use outcome::{FailureReason, LoadReport, Outcome};
+pub use response_buffering::BodyFraming;
 pub use settings::{
     Class, DeduplicationScope, Discovery, DiscoveryMode, Idempotency, Limits, ScoreWeights,
     Settings, SlowStart, Tenant,
--- a/proxy/src/invariants/mod.rs
+++ b/proxy/src/invariants/mod.rs
@@ -13,7 +13,7 @@
 use crate::invariants::history::{AttemptHistory, RequestHistory};
 use crate::log;
 use crate::metrics::{Metrics, Violation, WriteDenial};
-use balancer::{FailureReason, Outcome};
+use balancer::{BodyFraming, FailureReason, Outcome};
 use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -186,6 +186,25 @@
         );
     }
 
+    /// Records that the attempt's response is given up after it was buffered for this time.
+    pub(crate) fn response_given_up(
+        &self,
+        framing: BodyFraming,
+        buffered_bytes: usize,
+        buffered_for: Duration,
+    ) {
+        let history = self.request.history.borrow();
+        let request = &history.id;
+        tracing::debug!(
+            ?request,
+            attempt = self.index,
+            ?framing,
+            buffered_bytes,
+            ?buffered_for,
+            "response given up while it was buffered"
+        );
+    }
+
     /// Records that the attempt has ended, and checks its outcome. `is_written`: whether the
     /// attempt was written completely.
     pub(crate) fn ended(&self, outcome: Outcome, is_written: bool) {
--- a/proxy/src/metrics/counters.rs
+++ b/proxy/src/metrics/counters.rs
@@ -4,7 +4,7 @@
 use crate::metrics::{
     ClientCloseReason, DurationHistogram, EndpointCloseReason, RequestEnd, Violation, WriteDenial,
 };
-use balancer::{ClassId, FailureReason, Outcome};
+use balancer::{BodyFraming, ClassId, FailureReason, Outcome};
 use hyper::StatusCode;
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
@@ -53,6 +53,8 @@
     /// behind unread input.
     pub clients_out_of_sight: u64,
     outcomes: BTreeMap<Outcome, u64>,
+    /// Responses whose head had arrived and that were given up while their bodies were buffered.
+    responses_given_up: BTreeMap<BodyFraming, u64>,
     /// Invalid requests by the status of their response.
     invalid_requests: BTreeMap<u16, u64>,
     write_denials: BTreeMap<WriteDenial, u64>,
@@ -81,6 +83,11 @@
         *self.outcomes.entry(outcome).or_default() += 1;
     }
 
+    /// Counts a response that was given up while it was buffered.
+    pub fn response_given_up(&mut self, framing: BodyFraming) {
+        *self.responses_given_up.entry(framing).or_default() += 1;
+    }
+
     /// Counts an invalid request, which was answered with this status and never reached the
     /// balancer.
     pub fn request_invalid(&mut self, status: StatusCode) {
@@ -175,6 +182,11 @@
             self.clients_out_of_sight
         )?;
         write!(formatter, "outcomes: {:?}, ", self.outcomes)?;
+        write!(
+            formatter,
+            "responses_given_up: {:?}, ",
+            self.responses_given_up
+        )?;
         write!(formatter, "invalid_requests: {:?}, ", self.invalid_requests)?;
         write!(formatter, "write_denials: {:?}, ", self.write_denials)?;
         write!(
--- a/proxy/src/upstream/buffering.rs
+++ b/proxy/src/upstream/buffering.rs
@@ -1,8 +1,10 @@
 //! Reads the body of a response as far as it is buffered before it is forwarded.
 
-use super::response::{BodyFraming, ResponseError};
+use super::response::ResponseError;
 use crate::memory::{BufferError, BufferedBody, MemoryManager, TransferPermit};
 use crate::message_limits::MAX_BODY_BYTES;
+use crate::write_guard::WriteGuard;
+use balancer::BodyFraming;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use std::time::Duration;
@@ -35,6 +37,7 @@
     mut body: Incoming,
     framing: BodyFraming,
     memory: &MemoryManager,
+    write_guard: &WriteGuard,
 ) -> Result<ReadBody, ResponseError> {
     // A wait for memory would look to the balancer like a slow endpoint.
     let memory_until = Instant::now();
@@ -56,7 +59,8 @@
         }
     };
     let buffer_until = Instant::now() + BUFFERING_TIMEOUT;
-    let has_time_limit = length.is_none() && framing == BodyFraming::Delimited;
+    let has_time_limit = framing == BodyFraming::Chunked;
+    let mut progress = BufferingProgress::new(write_guard, framing);
     let mut has_begun = false;
     loop {
         let data = if has_time_limit && has_begun {
@@ -67,14 +71,17 @@
         } else {
             next_data(&mut body).await
         };
-        let Some(data) = data else {
+        let Some(data) = data.transpose().inspect_err(|_| progress.finish())? else {
+            progress.finish();
             return Ok(ReadBody::Complete(buffer.into_bytes()));
         };
         has_begun = true;
-        if !buffer.append(&data?) {
+        progress.add(data.len());
+        if !buffer.append(&data) {
             break;
         }
     }
+    progress.finish();
     Ok(ReadBody::Partial {
         permit: reserve_transfer(memory).await?,
         prefix: buffer.into_bytes(),
@@ -82,6 +89,46 @@
     })
 }
 
+/// Records a response that is given up while it is buffered, as when its attempt times out: the
+/// progress is dropped then.
+struct BufferingProgress<'a> {
+    write_guard: &'a WriteGuard,
+    framing: BodyFraming,
+    started_at: Instant,
+    buffered_bytes: usize,
+    is_finished: bool,
+}
+
+impl BufferingProgress<'_> {
+    fn new(write_guard: &WriteGuard, framing: BodyFraming) -> BufferingProgress<'_> {
+        BufferingProgress {
+            write_guard,
+            framing,
+            started_at: Instant::now(),
+            buffered_bytes: 0,
+            is_finished: false,
+        }
+    }
+
+    fn add(&mut self, bytes: usize) {
+        self.buffered_bytes += bytes;
+    }
+
+    fn finish(&mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for BufferingProgress<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let elapsed = self.started_at.elapsed();
+            self.write_guard
+                .record_response_given_up(self.framing, self.buffered_bytes, elapsed);
+        }
+    }
+}
+
 async fn reserve_transfer(memory: &MemoryManager) -> Result<TransferPermit, ResponseError> {
     let permit = memory.reserve_transfer().await;
     permit.ok_or(ResponseError::OutOfMemory)
--- a/proxy/src/upstream/exchange.rs
+++ b/proxy/src/upstream/exchange.rs
@@ -3,7 +3,7 @@
 use super::buffering::{read_body, ReadBody};
 use super::connection::{Connection, RESPONSE_END_TIMEOUT};
 use super::load_report::load_report;
-use super::response::{classify_error, classify_status, BodyFraming, ResponseError};
+use super::response::{body_framing, classify_error, classify_status, ResponseError};
 use crate::body::{AttemptBody, RequestBody, ResponseBody, StreamedResponse};
 use crate::memory::{MemoryManager, MAX_BUFFERED_BODY_BYTES};
 use crate::write_guard::WriteGuard;
@@ -137,8 +137,8 @@
     context: ExchangeContext<'_>,
 ) -> AttemptEnd {
     let load = load_report(&head.headers);
-    let read = match BodyFraming::of(&head.headers) {
-        Some(framing) => read_body(body, framing, context.memory).await,
+    let read = match body_framing(&head.headers) {
+        Some(framing) => read_body(body, framing, context.memory, context.write_guard).await,
         None => Err(ResponseError::InvalidFraming),
     };
     let (body, connection) = match read {
--- a/proxy/src/upstream/response.rs
+++ b/proxy/src/upstream/response.rs
@@ -1,7 +1,7 @@
 //! Derives the outcome of an attempt from its response.
 
 use crate::message_limits::MAX_BODY_BYTES;
-use balancer::Outcome;
+use balancer::{BodyFraming, Outcome};
 use hyper::header::{self, HeaderMap};
 use hyper::StatusCode;
 use std::error::Error as StdError;
@@ -87,30 +87,18 @@
     }
 }
 
-/// How the end of a response body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyFraming {
-    /// By its declared length or its last chunk.
-    Delimited,
-    /// By the end of the connection (RFC 9112, section 6.3). If the endpoint crashes, the
-    /// connection is reset, which does not count as the end of the body.
-    UntilClose,
-}
-
-impl BodyFraming {
-    /// The framing that the headers of a response declare. `None`: several lengths or both a length
-    /// and a transfer coding, which is ambiguous, or a transfer coding other than `chunked`, which
-    /// cannot be decoded.
-    pub(super) fn of(headers: &HeaderMap) -> Option<BodyFraming> {
-        let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
-        let codings: Vec<_> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
-        match (lengths, &codings[..]) {
-            (1, []) => Some(BodyFraming::Delimited),
-            (0, [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-                Some(BodyFraming::Delimited)
-            }
-            (0, []) => Some(BodyFraming::UntilClose),
-            _ => None,
+/// The framing that the headers of a response declare. `None`: several lengths or both a length and a
+/// transfer coding, which is ambiguous, or a transfer coding other than `chunked`, which cannot be
+/// decoded.
+pub(super) fn body_framing(headers: &HeaderMap) -> Option<BodyFraming> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let codings: Vec<_> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    match (lengths, &codings[..]) {
+        (1, []) => Some(BodyFraming::Length),
+        (0, [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Some(BodyFraming::Chunked)
         }
+        (0, []) => Some(BodyFraming::UntilClose),
+        _ => None,
     }
 }
--- a/proxy/src/write_guard.rs
+++ b/proxy/src/write_guard.rs
@@ -3,7 +3,7 @@
 
 use crate::invariants::AttemptRecord;
 use crate::metrics::{Metrics, WriteDenial};
-use balancer::Outcome;
+use balancer::{BodyFraming, Outcome};
 use std::cell::Cell;
 use std::fmt;
 use std::future::pending;
@@ -159,6 +159,19 @@
         }
     }
 
+    /// Records a response that is given up after it was buffered for this time.
+    pub fn record_response_given_up(
+        &self,
+        framing: BodyFraming,
+        buffered_bytes: usize,
+        buffered_for: Duration,
+    ) {
+        self.0.metrics.counters_mut().response_given_up(framing);
+        if let Some(record) = &self.0.record {
+            record.response_given_up(framing, buffered_bytes, buffered_for);
+        }
+    }
+
     /// Records the attempt's outcome.
     pub fn record_outcome(&self, outcome: Outcome) {
         if let Some(record) = &self.0.record {
