Forward a slow response without a length before its client's time is over

Callers saw: a keyed or unsafe request got 502 (503 where it may be repeated anywhere) at the end of its time, although its endpoint was sending the response all along; the endpoint was cut off. Cause: a body that ends with its connection was buffered until it had more than 64 KiB or ended, with no limit in time. At 64 kB a second that takes longer than a client waits, and the attempt's deadline then threw the buffer away. If there is no place for a stream, the response stays buffered as before. A body that says it has up to 64 KiB is not concerned: it counts by its last byte. Why it works: no limit that ends the attempt applies any more once the response has begun to arrive.

--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -80,7 +80,7 @@
 pub use event::{EndpointEntry, EndpointState, Event, ListUpdate};
 pub use ids::{CellId, ClassId, EndpointId, Micros, RequestId, TenantId, ZoneId};
 pub use outcome::{FailureReason, LoadReport, Outcome};
-pub use response_buffering::BodyFraming;
+pub use response_buffering::{BodyFraming, BufferingTimes};
 pub use settings::{
     Class, DeduplicationScope, Discovery, DiscoveryMode, Idempotency, Limits, ScoreWeights,
     Settings, SlowStart, Tenant,
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -49,13 +49,8 @@
     /// Until when a response counts with the priority weight of its class or a fraction of it: the
     /// latency objective or, if late responses count too, the deadline.
     pub(crate) fn response_due_at(&self) -> Micros {
-        let allowed_latency = if self.class.late_weight_fraction > 0.0 {
-            self.class.deadline
-        } else {
-            self.class.latency_objective
-        };
         self.deadline
-            .min(self.arrived_at.saturating_add(allowed_latency))
+            .min(self.arrived_at.saturating_add(self.class.weighted_time()))
     }
 
     /// When the deduplication window ends, which begins with the first attempt that may have been
--- a/balancer/src/settings.rs
+++ b/balancer/src/settings.rs
@@ -46,6 +46,19 @@
     pub idempotency: Idempotency,
 }
 
+impl Class {
+    /// Time from a request's arrival until when a response counts with the priority weight of the
+    /// class or a fraction of it: the latency objective or, if late responses count too, the
+    /// deadline.
+    pub fn weighted_time(&self) -> Micros {
+        if self.late_weight_fraction > 0.0 {
+            self.deadline
+        } else {
+            self.latency_objective
+        }
+    }
+}
+
 impl Default for Class {
     /// A non-idempotent class without latency objective, deadline or priority weight.
     fn default() -> Self {
--- a/proxy/src/control/attempt.rs
+++ b/proxy/src/control/attempt.rs
@@ -5,9 +5,12 @@
 use crate::control::endpoints::EndpointProcess;
 use crate::control::request::ForwardedRequest;
 use crate::control::Control;
-use crate::upstream::{self, AttemptEnd, Connection, ConnectionPermit, ExchangeContext};
+use crate::upstream::{
+    self, AttemptEnd, BufferingContext, Connection, ConnectionPermit, ExchangeContext, FlushRequest,
+};
 use crate::write_guard::WriteGuard;
 use balancer::Outcome;
+use std::pin::pin;
 use std::rc::Rc;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep_until, Instant};
@@ -22,17 +25,20 @@
     /// deadline depends on when the last byte can have arrived.
     pub(super) deadline: Instant,
     pub(super) write_guard: WriteGuard,
+    /// Has the response forwarded as far as it has arrived at the deadline.
+    pub(super) flush_request: FlushRequest,
 }
 
 impl Attempt {
     /// Runs the attempt, on the idle connection if that is still usable. The attempt ends at its
-    /// deadline at the latest, unless its response is being streamed to the client by then.
+    /// deadline at the latest; a response that is arriving then is streamed to the client.
     pub(super) async fn run(&self, idle_connection: Option<IdleConnection>) -> AttemptEnd {
+        let mut exchange = pin!(self.exchange(idle_connection));
         let end = tokio::select! {
             // Polled in this order so that a response that arrives together with the deadline is
             // forwarded.
             biased;
-            end = self.exchange(idle_connection) => match end.outcome {
+            end = &mut exchange => match end.outcome {
                 Outcome::ConnectFailed if self.write_guard.is_start_window_closed() => {
                     AttemptEnd::without_response(Outcome::NeverSent)
                 }
@@ -41,7 +47,15 @@
             () = self.write_guard.start_window_closed() => {
                 AttemptEnd::without_response(Outcome::NeverSent)
             }
-            () = self.timed_out() => AttemptEnd::without_response(self.timeout_outcome()),
+            () = self.timed_out() => {
+                // A response that is arriving is not given up: it may be long, and what counts then
+                // is its first byte.
+                if self.flush_request.request() {
+                    exchange.await
+                } else {
+                    AttemptEnd::without_response(self.timeout_outcome())
+                }
+            }
         };
         // A failed upload must not count against the endpoint, so the attempt is reported as
         // cancelled.
@@ -184,7 +198,12 @@
         let context = ExchangeContext {
             request_body: &self.forwarded.body,
             write_guard: &self.write_guard,
-            memory: &memory,
+            buffering: BufferingContext {
+                memory: &memory,
+                write_guard: &self.write_guard,
+                response_due_at: self.response_due_at(),
+                flush_request: &self.flush_request,
+            },
             return_connection: Box::new(move |connection| {
                 return_when_idle(control, process, connection)
             }),
@@ -193,6 +212,19 @@
         upstream::exchange(connection, message, context).await
     }
 
+    /// Until when the response counts, see [`balancer::Class::weighted_time`].
+    fn response_due_at(&self) -> Instant {
+        let forwarded = &self.forwarded;
+        let arrived_at = match forwarded.body.upload() {
+            Some(upload) => upload.earliest_completion(),
+            None => self
+                .deadline
+                .checked_sub(forwarded.response_timeout)
+                .unwrap_or(self.deadline),
+        };
+        arrived_at + forwarded.weighted_time
+    }
+
     /// The end of an attempt that was not written completely because its client has disconnected.
     /// It is reported as never sent or cancelled, so that it does not count against the endpoint.
     /// `None` if the client is still connected.
--- a/proxy/src/control/attempt_lifecycle.rs
+++ b/proxy/src/control/attempt_lifecycle.rs
@@ -7,7 +7,7 @@
 use crate::control::in_flight::{attempt_ended_event, InFlightAttempt};
 use crate::control::{Control, ControlState};
 use crate::task::{self, ScopedTask};
-use crate::upstream::{AttemptEnd, Connection};
+use crate::upstream::{AttemptEnd, Connection, FlushRequest};
 use crate::write_guard::WriteGuard;
 use balancer::{EndpointId, Event, Outcome, RequestId};
 use std::time::Duration;
@@ -48,6 +48,7 @@
             forwarded: request.forwarded.clone(),
             deadline: request.deadline,
             write_guard: write_guard.clone(),
+            flush_request: FlushRequest::default(),
         };
         let max_idle = self.pool.max_idle(self.config.connection_idle_timeout);
         let idle_connection = self.pool.take(endpoint_id, max_idle);
--- a/proxy/src/control/request.rs
+++ b/proxy/src/control/request.rs
@@ -28,6 +28,9 @@
     /// Time after the request's last byte within which the proxy must have the response: the
     /// client's timeout less the time that is reserved for returning the response to the client.
     pub response_timeout: Duration,
+    /// Time after the request's last byte within which a response still counts, at least in part:
+    /// see [`balancer::Class::weighted_time`].
+    pub weighted_time: Duration,
     /// The client's connection.
     pub client: Socket,
     /// The memory of the request and its attempts.
--- a/proxy/src/downstream/forward.rs
+++ b/proxy/src/downstream/forward.rs
@@ -79,6 +79,7 @@
         headers: head.headers,
         body,
         response_timeout,
+        weighted_time: valid.weighted_time,
         client: client.clone(),
         _memory: memory,
     };
--- a/proxy/src/downstream/request.rs
+++ b/proxy/src/downstream/request.rs
@@ -63,6 +63,9 @@
     /// How long the client waits for the response after the last byte of its request, limited by
     /// the deadline of its class.
     pub(super) timeout: Duration,
+    /// How long after that a response counts, see
+    /// [`balancer::Class::weighted_time`].
+    pub(super) weighted_time: Duration,
 }
 
 /// Validates a request head. `body_length` is the length of the body if the head gives it.
@@ -92,6 +95,7 @@
         tenant,
         is_client_retry,
         timeout,
+        weighted_time: Duration::from_micros(class_config.weighted_time()),
     })
 }
 
--- a/proxy/src/downstream/tests.rs
+++ b/proxy/src/downstream/tests.rs
@@ -79,6 +79,7 @@
         headers: HeaderList::default(),
         body: RequestBody::Buffered(Bytes::new()),
         response_timeout,
+        weighted_time: response_timeout,
         client,
         _memory: account().reserve_unchecked(MemoryUse::Request, 0),
     }
--- a/proxy/src/upstream/buffering.rs
+++ b/proxy/src/upstream/buffering.rs
@@ -3,16 +3,14 @@
 use super::response::ResponseError;
 use crate::memory::{BufferError, BufferedBody, MemoryManager, TransferPermit};
 use crate::message_limits::MAX_BODY_BYTES;
+use crate::upstream::flush_request::FlushRequest;
 use crate::write_guard::WriteGuard;
-use balancer::BodyFraming;
+use balancer::{BodyFraming, Micros};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
+use std::future::pending;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
-
-/// How long a chunked body of unknown length is buffered, counted from the response head. Its first
-/// data is awaited even after that, until the attempt's deadline.
-const BUFFERING_TIMEOUT: Duration = Duration::from_millis(20);
+use tokio::time::{sleep_until, Instant};
 
 /// The part of a response body that is read before the response is forwarded.
 pub(super) enum ReadBody {
@@ -29,15 +27,24 @@
     },
 }
 
-/// Reads a body and buffers it if it is small. A chunked body is buffered only for a bounded time,
-/// so that its first bytes are not delayed. A body that ends with its connection may be cut off at
-/// any byte, and its request can be retried only while nothing of it has been forwarded, so it is
-/// buffered for as long as it fits.
+/// What reading a response body needs besides the body.
+pub(crate) struct BufferingContext<'a> {
+    /// Memory for the body, and places for streamed ones.
+    pub(crate) memory: &'a MemoryManager,
+    /// Records what becomes of the response.
+    pub(crate) write_guard: &'a WriteGuard,
+    /// Until when the response counts, see [`balancer::Class::weighted_time`].
+    pub(crate) response_due_at: Instant,
+    /// Asks for the response to be forwarded as far as it has arrived.
+    pub(crate) flush_request: &'a FlushRequest,
+}
+
+/// Reads a body and buffers it if it is small and arrives within its
+/// [`BufferingTimes`](balancer::BufferingTimes).
 pub(super) async fn read_body(
-    mut body: Incoming,
+    body: Incoming,
     framing: BodyFraming,
-    memory: &MemoryManager,
-    write_guard: &WriteGuard,
+    context: &BufferingContext<'_>,
 ) -> Result<ReadBody, ResponseError> {
     // A wait for memory would look to the balancer like a slow endpoint.
     let memory_until = Instant::now();
@@ -45,90 +52,172 @@
     if length.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(ResponseError::TooLong);
     }
-    let mut buffer = match BufferedBody::new(memory, length, memory_until).await {
-        Ok(buffer) => buffer,
-        Err(BufferError::OutOfMemory) => return Err(ResponseError::OutOfMemory),
-        Err(BufferError::TooLong) => {
-            let permit = reserve_transfer(memory).await?;
-            let prefix = next_data(&mut body).await.transpose()?.unwrap_or_default();
-            return Ok(ReadBody::Partial {
-                prefix,
-                rest: body,
-                permit,
-            });
-        }
-    };
-    let buffer_until = Instant::now() + BUFFERING_TIMEOUT;
-    let has_time_limit = framing == BodyFraming::Chunked;
-    let mut progress = BufferingProgress::new(write_guard, framing);
-    let mut has_begun = false;
-    loop {
-        let data = if has_time_limit && has_begun {
-            match timeout_at(buffer_until, next_data(&mut body)).await {
-                Ok(data) => data,
-                Err(_) => break,
+    match BufferedBody::new(context.memory, length, memory_until).await {
+        Ok(buffer) => buffer_body(body, buffer, framing, context).await,
+        Err(BufferError::OutOfMemory) => Err(ResponseError::OutOfMemory),
+        Err(BufferError::TooLong) => read_first_data(body, context.memory).await,
+    }
+}
+
+/// Reads the first data of a body that is known to be too long to be buffered.
+async fn read_first_data(
+    mut body: Incoming,
+    memory: &MemoryManager,
+) -> Result<ReadBody, ResponseError> {
+    let permit = reserve_transfer(memory).await?;
+    let prefix = next_data(&mut body).await.transpose()?.unwrap_or_default();
+    Ok(ReadBody::Partial {
+        prefix,
+        rest: body,
+        permit,
+    })
+}
+
+/// Buffers a body until it is complete, too long, or due to be forwarded.
+async fn buffer_body(
+    mut body: Incoming,
+    mut buffer: BufferedBody,
+    framing: BodyFraming,
+    context: &BufferingContext<'_>,
+) -> Result<ReadBody, ResponseError> {
+    let mut progress = BufferingProgress::new(framing, context);
+    let permit = loop {
+        let may_buffer_on = match progress.next_step(&mut body).await? {
+            BufferingStep::Complete => return Ok(ReadBody::Complete(buffer.into_bytes())),
+            BufferingStep::Data(data) => {
+                let fits = buffer.append(&data);
+                if fits && !progress.is_forwarding_due() {
+                    continue;
+                }
+                fits
             }
-        } else {
-            next_data(&mut body).await
-        };
-        let Some(data) = data.transpose().inspect_err(|_| progress.finish())? else {
-            progress.finish();
-            return Ok(ReadBody::Complete(buffer.into_bytes()));
+            BufferingStep::PauseOver => true,
+            BufferingStep::FlushRequested => false,
         };
-        has_begun = true;
-        progress.add(data.len());
-        if !buffer.append(&data) {
-            break;
+        match context.memory.reserve_transfer().await {
+            Some(permit) => break permit,
+            None if may_buffer_on => progress.await_more_data(),
+            None => return Err(ResponseError::OutOfMemory),
         }
-    }
-    progress.finish();
+    };
     Ok(ReadBody::Partial {
-        permit: reserve_transfer(memory).await?,
         prefix: buffer.into_bytes(),
         rest: body,
+        permit,
     })
 }
 
-/// Records a response that is given up while it is buffered, as when its attempt times out: the
-/// progress is dropped then.
+/// What happens next to a body that is being buffered.
+enum BufferingStep {
+    /// Its end has arrived.
+    Complete,
+    /// More of it has arrived.
+    Data(Bytes),
+    /// Nothing more has arrived for the longest time for which its beginning is buffered.
+    PauseOver,
+    /// It is to be forwarded as far as it has arrived.
+    FlushRequested,
+}
+
+/// The course of buffering one response. Dropping it while the body is neither complete nor
+/// forwarded, as when the attempt times out, records that the response is given up.
 struct BufferingProgress<'a> {
-    write_guard: &'a WriteGuard,
     framing: BodyFraming,
+    context: &'a BufferingContext<'a>,
     started_at: Instant,
     buffered_bytes: usize,
-    is_finished: bool,
+    /// From when on the response is forwarded as soon as more data arrives. `None` before the first
+    /// data, or if only the attempt's deadline limits the buffering.
+    forward_from: Option<Instant>,
+    /// When the response is forwarded even if nothing more arrives.
+    flush_at: Option<Instant>,
+    is_given_up_if_dropped: bool,
 }
 
-impl BufferingProgress<'_> {
-    fn new(write_guard: &WriteGuard, framing: BodyFraming) -> BufferingProgress<'_> {
+impl<'a> BufferingProgress<'a> {
+    fn new(framing: BodyFraming, context: &'a BufferingContext<'a>) -> BufferingProgress<'a> {
         BufferingProgress {
-            write_guard,
             framing,
+            context,
             started_at: Instant::now(),
             buffered_bytes: 0,
-            is_finished: false,
+            forward_from: None,
+            flush_at: None,
+            is_given_up_if_dropped: true,
+        }
+    }
+
+    /// Waits until the body goes on or ends, or until its beginning is to be forwarded.
+    async fn next_step(&mut self, body: &mut Incoming) -> Result<BufferingStep, ResponseError> {
+        self.is_given_up_if_dropped = true;
+        let step = tokio::select! {
+            // Polled in this order so that what has arrived is taken before a time limit applies.
+            biased;
+            data = next_data(body) => match data.transpose() {
+                Ok(Some(data)) => Ok(BufferingStep::Data(data)),
+                Ok(None) => Ok(BufferingStep::Complete),
+                Err(error) => Err(error.into()),
+            },
+            () = self.context.flush_request.requested() => Ok(BufferingStep::FlushRequested),
+            () = sleep_until_some(self.flush_at) => Ok(BufferingStep::PauseOver),
+        };
+        self.is_given_up_if_dropped = false;
+        if let Ok(BufferingStep::Data(data)) = &step {
+            self.record_data(data.len());
         }
+        step
     }
 
-    fn add(&mut self, bytes: usize) {
+    fn record_data(&mut self, bytes: usize) {
+        if self.buffered_bytes == 0 {
+            self.set_limits();
+        }
         self.buffered_bytes += bytes;
     }
 
-    fn finish(&mut self) {
-        self.is_finished = true;
+    /// Sets the limits on the time for which the body is buffered, when its first data arrives.
+    fn set_limits(&mut self) {
+        let now = Instant::now();
+        let time_left = self.context.response_due_at.saturating_duration_since(now);
+        let Some(times) = self
+            .framing
+            .buffering_times(time_left.as_micros() as Micros)
+        else {
+            return;
+        };
+        self.forward_from = Some(now + Duration::from_micros(times.forward_after));
+        self.flush_at = Some(now + Duration::from_micros(times.flush_after));
+        self.context.flush_request.set_possible(true);
+    }
+
+    fn is_forwarding_due(&self) -> bool {
+        self.forward_from.is_some_and(|from| Instant::now() >= from)
+    }
+
+    /// There is no place for a stream: the response is buffered until more of it arrives.
+    fn await_more_data(&mut self) {
+        self.flush_at = None;
     }
 }
 
 impl Drop for BufferingProgress<'_> {
     fn drop(&mut self) {
-        if !self.is_finished {
+        self.context.flush_request.set_possible(false);
+        if self.is_given_up_if_dropped {
             let elapsed = self.started_at.elapsed();
-            self.write_guard
-                .record_response_given_up(self.framing, self.buffered_bytes, elapsed);
+            let write_guard = self.context.write_guard;
+            write_guard.record_response_given_up(self.framing, self.buffered_bytes, elapsed);
         }
     }
 }
 
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => pending().await,
+    }
+}
+
 async fn reserve_transfer(memory: &MemoryManager) -> Result<TransferPermit, ResponseError> {
     let permit = memory.reserve_transfer().await;
     permit.ok_or(ResponseError::OutOfMemory)
--- a/proxy/src/upstream/exchange.rs
+++ b/proxy/src/upstream/exchange.rs
@@ -1,11 +1,11 @@
 //! An exchange: one request and its response on a connection to an endpoint.
 
-use super::buffering::{read_body, ReadBody};
+use super::buffering::{read_body, BufferingContext, ReadBody};
 use super::connection::{Connection, RESPONSE_END_TIMEOUT};
 use super::load_report::load_report;
 use super::response::{body_framing, classify_error, classify_status, ResponseError};
 use crate::body::{AttemptBody, RequestBody, ResponseBody, StreamedResponse};
-use crate::memory::{MemoryManager, MAX_BUFFERED_BODY_BYTES};
+use crate::memory::MAX_BUFFERED_BODY_BYTES;
 use crate::write_guard::WriteGuard;
 use balancer::{LoadReport, Outcome};
 use http_body_util::{BodyExt, Limited};
@@ -51,8 +51,8 @@
     pub(crate) request_body: &'a RequestBody,
     /// Checks and counts the writes of the attempt.
     pub(crate) write_guard: &'a WriteGuard,
-    /// Memory for buffering the response body.
-    pub(crate) memory: &'a MemoryManager,
+    /// How the response body is buffered.
+    pub(crate) buffering: BufferingContext<'a>,
     /// Called with the connection once a streamed response has been read completely.
     pub(crate) return_connection: Box<dyn FnOnce(Connection)>,
 }
@@ -138,7 +138,7 @@
 ) -> AttemptEnd {
     let load = load_report(&head.headers);
     let read = match body_framing(&head.headers) {
-        Some(framing) => read_body(body, framing, context.memory, context.write_guard).await,
+        Some(framing) => read_body(body, framing, &context.buffering).await,
         None => Err(ResponseError::InvalidFraming),
     };
     let (body, connection) = match read {
