End a broken response to an HTTP/1.0 client with a reset

Callers saw: a client of HTTP/1.0 took a response of unknown length for complete that its endpoint had reset half way. Cause: hyper ends such a response with its connection, and a body that fails was followed by the same orderly close as a complete one. Change: if the body of a response fails and its client speaks HTTP/1.0, the connection is reset. HTTP/1.1 clients get chunks, whose last one is missing, and keep the orderly close, which loses no data.

--- a/proxy/src/downstream/connection.rs
+++ b/proxy/src/downstream/connection.rs
@@ -195,6 +195,7 @@
             progress: self.progress.clone(),
         };
         let open_request = OpenRequest::begin(&self.phase, &self.socket, &self.progress);
+        let version = request.version();
         let shared = self.shared.clone();
         let (progress, socket) = (self.progress.clone(), self.socket.clone());
         let is_turn_over = self.turns.is_over(&self.socket);
@@ -211,7 +212,7 @@
                     .headers_mut()
                     .insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok(response.map(|body| TrackedBody::new(body, open_request)))
+            Ok(response.map(|body| TrackedBody::new(body, open_request, version)))
         }
     }
 }
--- a/proxy/src/downstream/open_request.rs
+++ b/proxy/src/downstream/open_request.rs
@@ -5,10 +5,11 @@
 use crate::body::{ClientWait, ResponseBody, ResponseBodyError, Upload};
 use crate::socket::Socket;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
+use hyper::Version;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::time::Instant;
 
 /// What the open request of a connection is doing, as far as it decides whether the connection may
@@ -95,14 +96,22 @@
 /// A response body that keeps its request open until hyper drops the body.
 pub(super) struct TrackedBody {
     body: ResponseBody,
-    _open_request: OpenRequest,
+    open_request: OpenRequest,
+    /// The client cannot tell an incomplete body from a complete one by its framing.
+    may_end_with_connection: bool,
 }
 
 impl TrackedBody {
-    pub(super) fn new(body: ResponseBody, open_request: OpenRequest) -> TrackedBody {
+    /// Creates the body of the response to a request of this version.
+    pub(super) fn new(
+        body: ResponseBody,
+        open_request: OpenRequest,
+        version: Version,
+    ) -> TrackedBody {
         TrackedBody {
             body,
-            _open_request: open_request,
+            open_request,
+            may_end_with_connection: version == Version::HTTP_10,
         }
     }
 }
@@ -115,7 +124,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if self.may_end_with_connection && frame.as_ref().is_some_and(Result::is_err) {
+            self.open_request.socket.end_with_reset();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/proxy/src/socket/lingering_close.rs
+++ b/proxy/src/socket/lingering_close.rs
@@ -3,6 +3,7 @@
 
 use super::stream::{poll_receive, shutdown_write};
 use super::{Socket, MAX_READ_BYTES};
+use socket2::SockRef;
 use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
@@ -15,10 +16,22 @@
     /// Ends this side's sending, discards input until the peer ends its sending too or `limit` has
     /// passed, and closes the stream.
     pub async fn lingering_close(self, limit: Duration) {
+        if self.0.ends_with_reset.get() {
+            return self.close();
+        }
         let _ = timeout(limit, self.shutdown_and_discard()).await;
         self.close();
     }
 
+    /// From now on the stream ends with a reset instead of an orderly end.
+    pub fn end_with_reset(&self) {
+        self.0.ends_with_reset.set(true);
+        if let Some(stream) = self.0.stream.borrow().as_ref() {
+            // Without it the stream ends in order at the close, which cannot be helped.
+            let _ = SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     async fn shutdown_and_discard(&self) {
         if self.shutdown_write().is_err() {
             return;
@@ -29,8 +42,11 @@
         {}
     }
 
-    /// Ends this side's sending.
+    /// Ends this side's sending, unless the stream is to end with a reset.
     pub(super) fn shutdown_write(&self) -> io::Result<()> {
+        if self.0.ends_with_reset.get() {
+            return Ok(());
+        }
         match self.0.stream.borrow().as_ref() {
             Some(stream) => shutdown_write(stream),
             None => Ok(()),
--- a/proxy/src/socket/mod.rs
+++ b/proxy/src/socket/mod.rs
@@ -59,6 +59,8 @@
     /// The memory of buffers that a large head has made grow; `None` for a connection to an endpoint
     /// or to discovery.
     head_memory: Option<HeadMemory>,
+    /// The stream is to end with a reset.
+    ends_with_reset: Cell<bool>,
     /// The request that was last tracked by [`Socket::track_request`].
     tracked_request: Cell<Option<TrackedRequest>>,
 }
@@ -122,6 +124,7 @@
             write_blocked_since: Cell::new(None),
             framing,
             head_memory,
+            ends_with_reset: Cell::default(),
             tracked_request: Cell::new(None),
         }))
     }
--- a/proxy/tests/slow_responses.rs
+++ b/proxy/tests/slow_responses.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::slice::from_ref;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -210,3 +210,27 @@
         assert_eq!(response.expect("no response").status(), 502);
     });
 }
+
+/// The end of the connection ends a response of unknown length to a client of HTTP/1.0. If such a
+/// response breaks, the connection must be reset: after an orderly end it would look complete.
+#[test]
+fn a_broken_response_to_a_client_of_http_1_0_ends_with_a_reset() {
+    for head in [HEAD_UNTIL_CLOSE, WATCH_HEAD] {
+        run_test(async {
+            let request = short_request("unsafe").replace("HTTP/1.1", "HTTP/1.0");
+            let (_proxy, mut client, mut endpoint) = start(&request).await;
+            endpoint.send(head).await;
+            let pace = Pace::new(5_000, 100, 8);
+            pace.write(&mut endpoint, head == WATCH_HEAD).await;
+            disconnect(endpoint, Disconnect::Reset);
+            let mut received = Vec::new();
+            let end = client.stream.read_to_end(&mut received).await;
+            assert!(received.starts_with(b"HTTP/1.0 200"), "{head:?}");
+            assert!(
+                end.is_err(),
+                "{head:?}: {} bytes and an end",
+                received.len()
+            );
+        });
+    }
+}
