Count the calls to discovery by how they end, and how long answers take

Cause: of calls that fail in a row the log has the first alone, and nothing told a proxy whose agent is silent from one that gives up calls before their answers arrive. Change: metrics discovery_calls (Opened, Failed, Unanswered) and discovery_answer_ms. The opening of a watch and following it are two steps, so that a call is counted when it ends.

--- a/proxy/src/control/endpoint_list.rs
+++ b/proxy/src/control/endpoint_list.rs
@@ -1,12 +1,15 @@
 //! Watches the endpoint list and applies the lists and updates that arrive.
 
 use crate::control::{Control, ControlState};
-use crate::discovery::{self, EndpointList, WatchEvent, WatchTimeouts};
+use crate::discovery::{
+    open_watch, EndpointList, OpenWatch, WatchEnd, WatchError, WatchEvent, WatchTimeouts,
+};
 use crate::memory::{MemoryUse, ENDPOINT_ENTRY_BYTES};
+use crate::metrics::DiscoveryCallEnd;
 use crate::task;
 use balancer::{Event, ListUpdate};
 use std::net::SocketAddr;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout, Instant};
 
 /// Parameters of a watch.
 struct WatchRequest {
@@ -89,31 +92,53 @@
         }
     }
 
-    /// Runs a watch until it ends. In push mode, opens the next one after that; otherwise the
-    /// balancer decides when to poll again.
+    /// Opens a watch and runs it until it ends. In push mode, opens the next one after that;
+    /// otherwise the balancer decides when to poll again.
     async fn follow_watch(self, request: WatchRequest) {
-        let WatchRequest {
-            generation,
-            discovery,
-            since,
-            timeouts,
-        } = request;
-        let on_event = |event| match event {
-            WatchEvent::List(list) => self.apply_watched_list(&list, generation),
-            WatchEvent::Heartbeat => self.report_heartbeat(generation),
+        let end = match self.open_watch(&request).await {
+            Ok(watch) => {
+                watch
+                    .follow(|event| self.apply_event(event, &request))
+                    .await
+            }
+            Err(reason) => WatchEnd::not_opened(reason),
         };
-        let end = discovery::watch(discovery, since, timeouts, on_event).await;
-        if !self.state().watch.is_current(generation) {
+        if !self.state().watch.is_current(request.generation) {
             return;
         }
-        let kind = self.state_mut().watch.record_end(discovery, &end);
+        let kind = self.state_mut().watch.record_end(request.discovery, &end);
         self.dispatch([Event::EndpointList {
             kind,
             entries: Vec::new(),
         }]);
-        if let Some(reopen_delay) = timeouts.reopen_delay {
+        if let Some(reopen_delay) = request.timeouts.reopen_delay {
             sleep(reopen_delay.saturating_sub(end.open_for.unwrap_or_default())).await;
             self.state_mut().subscribe(&self);
         }
     }
+
+    /// Opens a watch, and counts how the call ended.
+    async fn open_watch(&self, request: &WatchRequest) -> Result<OpenWatch, WatchError> {
+        let called_at = Instant::now();
+        let limit = request.timeouts.response;
+        let opened = timeout(limit, open_watch(request.discovery, request.since)).await;
+        let metrics = self.metrics();
+        let mut counters = metrics.counters_mut();
+        counters.discovery_call_ended(match &opened {
+            Ok(Ok(_)) => DiscoveryCallEnd::Opened,
+            Ok(Err(_)) => DiscoveryCallEnd::Failed,
+            Err(_) => DiscoveryCallEnd::Unanswered,
+        });
+        if let Ok(Ok(_)) = &opened {
+            counters.discovery_answer_times.record(called_at.elapsed());
+        }
+        opened.unwrap_or(Err(WatchError::NoResponse(limit)))
+    }
+
+    fn apply_event(&self, event: WatchEvent, request: &WatchRequest) {
+        match event {
+            WatchEvent::List(list) => self.apply_watched_list(&list, request.generation),
+            WatchEvent::Heartbeat => self.report_heartbeat(request.generation),
+        }
+    }
 }
--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -5,4 +5,4 @@
 mod watch;
 
 pub use message::{EndpointList, ListedEndpoint, ListedState};
-pub use watch::{watch, WatchEnd, WatchError, WatchEvent, WatchTimeouts};
+pub use watch::{open_watch, OpenWatch, WatchEnd, WatchError, WatchEvent, WatchTimeouts};
--- a/proxy/src/discovery/watch.rs
+++ b/proxy/src/discovery/watch.rs
@@ -46,7 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WatchTimeouts {
     /// Maximum time from the start of connecting to the head of the response.
-    response: Duration,
+    pub response: Duration,
     /// Minimum time from the opening of a watch, or from the failure to open it, until the next one
     /// is opened; `None`: the balancer decides when.
     pub reopen_delay: Option<Duration>,
@@ -111,6 +111,14 @@
 }
 
 impl WatchEnd {
+    /// The end of a call that could not open a watch.
+    pub fn not_opened(reason: WatchError) -> WatchEnd {
+        WatchEnd {
+            reason,
+            open_for: None,
+        }
+    }
+
     /// Whether the watch could be opened, but was open for less than `BRIEF_WATCH_LIMIT`.
     pub fn was_brief(&self) -> bool {
         self.open_for
@@ -127,35 +135,22 @@
     Heartbeat,
 }
 
-/// Watches the endpoint list for changes after the version `since`, and calls `on_event` for each
-/// event until the watch ends. `since` of `None` asks for the full list.
-pub async fn watch(
-    discovery: SocketAddr,
-    since: Option<u64>,
-    timeouts: WatchTimeouts,
-    mut on_event: impl FnMut(WatchEvent),
-) -> WatchEnd {
-    let opened = timeout(timeouts.response, open_watch(discovery, since)).await;
-    match opened.unwrap_or(Err(WatchError::NoResponse(timeouts.response))) {
-        Ok((body, _connection)) => {
-            let opened_at = Instant::now();
-            let reason = read_events(body, &mut on_event).await;
-            WatchEnd {
-                reason,
-                open_for: Some(opened_at.elapsed()),
-            }
-        }
-        Err(reason) => WatchEnd {
-            reason,
-            open_for: None,
-        },
-    }
+/// A watch that discovery has opened.
+pub struct OpenWatch {
+    body: Incoming,
+    opened_at: Instant,
+    _connection: ScopedTask,
 }
 
-async fn open_watch(
+/// Asks for a watch of the endpoint list for changes after the version `since`, and waits without a
+/// limit until it is open. `since` of `None` asks for the full list.
+///
+/// # Errors
+/// Discovery can't be reached, or its response is not that of an open watch.
+pub async fn open_watch(
     discovery: SocketAddr,
     since: Option<u64>,
-) -> Result<(Incoming, ScopedTask), WatchError> {
+) -> Result<OpenWatch, WatchError> {
     let stream = retry_transient(SILENCE_TIMEOUT, async || connect(discovery).await).await?;
     let (mut sender, connection) = http1::handshake(Socket::new(stream)).await?;
     let connection = spawn(connection);
@@ -169,24 +164,39 @@
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
-    Ok((response.into_body(), connection))
+    Ok(OpenWatch {
+        body: response.into_body(),
+        opened_at: Instant::now(),
+        _connection: connection,
+    })
 }
 
-async fn read_events(mut body: Incoming, on_event: &mut impl FnMut(WatchEvent)) -> WatchError {
-    let mut parser = ListParser::default();
-    loop {
-        let data = match timeout(SILENCE_TIMEOUT, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(Some(Err(error))) => return error.into(),
-            Ok(None) => return WatchError::Ended,
-            Err(_) => return WatchError::Silent(SILENCE_TIMEOUT),
-        };
-        if let Err(error) = parser.feed(&data, &mut |list| on_event(WatchEvent::List(list))) {
-            return error.into();
+impl OpenWatch {
+    /// Calls `on_event` for each event until the watch ends.
+    pub async fn follow(mut self, mut on_event: impl FnMut(WatchEvent)) -> WatchEnd {
+        let reason = self.read_events(&mut on_event).await;
+        WatchEnd {
+            reason,
+            open_for: Some(self.opened_at.elapsed()),
         }
-        // A heartbeat is an empty line between two objects.
-        if parser.is_between_objects() && data.iter().all(u8::is_ascii_whitespace) {
-            on_event(WatchEvent::Heartbeat);
+    }
+
+    async fn read_events(&mut self, on_event: &mut impl FnMut(WatchEvent)) -> WatchError {
+        let mut parser = ListParser::default();
+        loop {
+            let data = match timeout(SILENCE_TIMEOUT, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(error))) => return error.into(),
+                Ok(None) => return WatchError::Ended,
+                Err(_) => return WatchError::Silent(SILENCE_TIMEOUT),
+            };
+            if let Err(error) = parser.feed(&data, &mut |list| on_event(WatchEvent::List(list))) {
+                return error.into();
+            }
+            // A heartbeat is an empty line between two objects.
+            if parser.is_between_objects() && data.iter().all(u8::is_ascii_whitespace) {
+                on_event(WatchEvent::Heartbeat);
+            }
         }
     }
 }
--- a/proxy/src/metrics/counters.rs
+++ b/proxy/src/metrics/counters.rs
@@ -2,7 +2,8 @@
 
 use crate::log;
 use crate::metrics::{
-    ClientCloseReason, DurationHistogram, EndpointCloseReason, RequestEnd, Violation, WriteDenial,
+    ClientCloseReason, DiscoveryCallEnd, DurationHistogram, EndpointCloseReason, RequestEnd,
+    Violation, WriteDenial,
 };
 use balancer::{BodyFraming, ClassId, FailureReason, Outcome};
 use hyper::StatusCode;
@@ -60,6 +61,9 @@
     write_denials: BTreeMap<WriteDenial, u64>,
     /// Requests that the balancer rejected or failed.
     abandoned_requests: BTreeMap<FailureReason, u64>,
+    discovery_calls: BTreeMap<DiscoveryCallEnd, u64>,
+    /// How long discovery took to answer the calls that opened a watch.
+    pub discovery_answer_times: DurationHistogram,
     /// How long client connections waited to be accepted.
     pub accept_waits: DurationHistogram,
     /// Client connections that the proxy closed.
@@ -104,6 +108,11 @@
         *self.abandoned_requests.entry(reason).or_default() += 1;
     }
 
+    /// Counts a call to discovery that has ended.
+    pub fn discovery_call_ended(&mut self, end: DiscoveryCallEnd) {
+        *self.discovery_calls.entry(end).or_default() += 1;
+    }
+
     /// Counts a client connection that the proxy has closed.
     pub fn client_connection_closed(&mut self, reason: ClientCloseReason) {
         *self.client_closes.entry(reason).or_default() += 1;
@@ -194,6 +203,12 @@
             "abandoned_requests: {:?}, ",
             self.abandoned_requests
         )?;
+        write!(formatter, "discovery_calls: {:?}, ", self.discovery_calls)?;
+        write!(
+            formatter,
+            "discovery_answer_ms: {}, ",
+            self.discovery_answer_times
+        )?;
         write!(formatter, "accept_wait_ms: {}, ", self.accept_waits)?;
         write!(formatter, "client_closes: {:?}, ", self.client_closes)?;
         write!(formatter, "endpoint_closes: {:?}, ", self.endpoint_closes)?;
--- a/proxy/src/metrics/mod.rs
+++ b/proxy/src/metrics/mod.rs
@@ -9,7 +9,9 @@
 
 pub use counters::Counters;
 pub use histogram::DurationHistogram;
-pub use reasons::{ClientCloseReason, EndpointCloseReason, RequestEnd, Violation, WriteDenial};
+pub use reasons::{
+    ClientCloseReason, DiscoveryCallEnd, EndpointCloseReason, RequestEnd, Violation, WriteDenial,
+};
 
 use balancer::ClassId;
 use std::cell::{Ref, RefCell, RefMut};
--- a/proxy/src/metrics/reasons.rs
+++ b/proxy/src/metrics/reasons.rs
@@ -14,6 +14,17 @@
     Failed,
 }
 
+/// How a call to discovery ended that asked for a watch of the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DiscoveryCallEnd {
+    /// The watch was opened.
+    Opened,
+    /// It failed: no connection, a rejection, or a response that could not be read.
+    Failed,
+    /// No response arrived in time.
+    Unanswered,
+}
+
 /// Why the proxy closed a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ClientCloseReason {
