Move the time limits of discovery into a module of their own

Cause: discovery/watch.rs held both the limits and the input and output. Change: WatchTimeouts and its constants are in discovery/timeouts.rs, which does no I/O. No behaviour changes.

--- a/proxy/src/discovery/mod.rs
+++ b/proxy/src/discovery/mod.rs
@@ -2,7 +2,9 @@
 
 mod message;
 mod parser;
+mod timeouts;
 mod watch;
 
 pub use message::{EndpointList, ListedEndpoint, ListedState};
-pub use watch::{open_watch, OpenWatch, WatchEnd, WatchError, WatchEvent, WatchTimeouts};
+pub use timeouts::WatchTimeouts;
+pub use watch::{open_watch, OpenWatch, WatchEnd, WatchError, WatchEvent};
