Wait for late answers of discovery beside the calls that follow them

Callers saw: requests went to a draining endpoint for as long as the proxy ran, once the watch of the list had ended and discovery took longer to answer than a third of the drain grace (133 ms). Cause: each call was given up after the same short time and made again, so that a discovery that always took a little longer was never heard. The limit has to be short: after an outage the agent does not answer what it was asked before, and a call must begin soon after its return. Change: a call that is not answered in time is still waited for while the next ones are made at the same pace as before, and the first answer wins (control/late_calls.rs). discovery/timeouts.rs says for how long: one call at a time for 6 s, when a change counts as notified; for a pushed list one for 2.5 s and the others for the drain grace; four at most beside the last, each in a place for connections to endpoints and entered in the memory account. A poll that the balancer planned is left out if a late answer has opened a watch meanwhile. Metrics: OpenedLate, Superseded; a log line for a late answer. Why it works: no limit is met unchanged by the next call, while a fresh call still follows within 0.43 of the drain grace after the return of a silent agent.

--- a/proxy/src/control/attempt.rs
+++ b/proxy/src/control/attempt.rs
@@ -6,13 +6,13 @@
 use crate::control::request::ForwardedRequest;
 use crate::control::Control;
 use crate::upstream::{
-    self, AttemptEnd, BufferingContext, Connection, ConnectionPermit, ExchangeContext, FlushRequest,
+    self, AttemptEnd, BufferingContext, Connection, ExchangeContext, FlushRequest,
 };
 use crate::write_guard::WriteGuard;
 use balancer::Outcome;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
 /// An attempt and everything that its task needs to run it.
@@ -153,7 +153,7 @@
     }
 
     async fn exchange_on_new(&self) -> AttemptEnd {
-        let Some(permit) = self.reserve_connection().await else {
+        let Some(permit) = self.control.reserve_connection().await else {
             return AttemptEnd::without_response(Outcome::NeverSent);
         };
         let connect_timeout = self.control.config().connect_timeout;
@@ -176,22 +176,6 @@
         end.unwrap_or_else(|| AttemptEnd::without_response(Outcome::ConnectFailed))
     }
 
-    /// Reserves a connection, and makes room for one if necessary by closing that of a slow client.
-    async fn reserve_connection(&self) -> Option<ConnectionPermit> {
-        loop {
-            let permit = self.control.state_mut().reserve_connection();
-            if permit.is_some() {
-                return permit;
-            }
-            let need = self.control.state().connection_need();
-            if !self.control.memory().reclaim(need) {
-                return None;
-            }
-            // What was given up is free when the tasks that held it are dropped.
-            yield_now().await;
-        }
-    }
-
     async fn exchange_on(&self, connection: Connection) -> Option<AttemptEnd> {
         let memory = self.control.memory();
         let (control, process) = (self.control.clone(), self.process);
--- a/proxy/src/control/endpoint_list.rs
+++ b/proxy/src/control/endpoint_list.rs
@@ -1,17 +1,23 @@
 //! Watches the endpoint list and applies the lists and updates that arrive.
 
+use crate::control::late_calls::LateCallId;
 use crate::control::{Control, ControlState};
 use crate::discovery::{
     open_watch, EndpointList, OpenWatch, WatchEnd, WatchError, WatchEvent, WatchTimeouts,
 };
+use crate::log;
 use crate::memory::{MemoryUse, ENDPOINT_ENTRY_BYTES};
 use crate::metrics::DiscoveryCallEnd;
 use crate::task;
 use balancer::{Event, ListUpdate};
+use std::future::Future;
 use std::net::SocketAddr;
-use tokio::time::{sleep, timeout, Instant};
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Parameters of a watch.
+#[derive(Clone)]
 struct WatchRequest {
     generation: u64,
     discovery: SocketAddr,
@@ -20,6 +26,21 @@
     timeouts: WatchTimeouts,
 }
 
+/// A call to discovery that asks for a watch.
+struct WatchCall {
+    begun_at: Instant,
+    answer: Pin<Box<dyn Future<Output = Result<OpenWatch, WatchError>>>>,
+}
+
+impl WatchCall {
+    fn begin(request: &WatchRequest) -> WatchCall {
+        WatchCall {
+            begun_at: Instant::now(),
+            answer: Box::pin(open_watch(request.discovery, request.since)),
+        }
+    }
+}
+
 impl ControlState {
     /// Opens a watch, which replaces the current one.
     pub(super) fn subscribe(&mut self, control: &Control) {
@@ -30,7 +51,7 @@
             timeouts: self.config.watch_timeouts(),
         };
         self.watch
-            .set_task(task::spawn(control.clone().follow_watch(request)));
+            .set_task(task::spawn(control.clone().call_and_follow(request)));
     }
 
     /// Ends the unwritten attempts for endpoints that are not ready, and closes the idle
@@ -92,11 +113,95 @@
         }
     }
 
-    /// Opens a watch and runs it until it ends. In push mode, opens the next one after that;
-    /// otherwise the balancer decides when to poll again.
-    async fn follow_watch(self, request: WatchRequest) {
-        let end = match self.open_watch(&request).await {
+    /// Calls discovery for a watch, and runs the watch until it ends.
+    async fn call_and_follow(self, request: WatchRequest) {
+        let mut call = WatchCall::begin(&request);
+        let limit = request.timeouts.response;
+        let answer = match timeout(limit, &mut call.answer).await {
+            Ok(answer) => {
+                let end = match &answer {
+                    Ok(_) => DiscoveryCallEnd::Opened,
+                    Err(_) => DiscoveryCallEnd::Failed,
+                };
+                self.count_call(&call, end);
+                answer
+            }
+            Err(_) => {
+                self.wait_beside_others(&request, call).await;
+                Err(WatchError::NoResponse(limit))
+            }
+        };
+        self.follow_watch(request, answer).await;
+    }
+
+    /// Goes on waiting for a call that was not answered in time, beside others, if there is room.
+    async fn wait_beside_others(&self, request: &WatchRequest, call: WatchCall) {
+        let permit = self.reserve_connection().await;
+        let mut state = self.state_mut();
+        let late_calls = &mut state.watch.late_calls;
+        let Some(permit) = permit.filter(|_| late_calls.has_room()) else {
+            drop(state);
+            return self.count_call(&call, DiscoveryCallEnd::Unanswered);
+        };
+        let patience = request.timeouts.patience(&late_calls.patiences());
+        let (control, request) = (self.clone(), request.clone());
+        late_calls.add(patience, permit, |id| {
+            task::spawn(control.follow_late_call(id, request, call, patience))
+        });
+    }
+
+    /// Waits for the answer to a call that has waited for too long to be the only one. A watch that
+    /// it opens becomes the current one.
+    async fn follow_late_call(
+        self,
+        id: LateCallId,
+        mut request: WatchRequest,
+        mut call: WatchCall,
+        patience: Duration,
+    ) {
+        let answer = timeout_at(call.begun_at + patience, &mut call.answer).await;
+        self.count_call(
+            &call,
+            match &answer {
+                Ok(Ok(_)) => DiscoveryCallEnd::OpenedLate,
+                Ok(Err(_)) => DiscoveryCallEnd::Failed,
+                Err(_) => DiscoveryCallEnd::Unanswered,
+            },
+        );
+        let Ok(Ok(watch)) = answer else {
+            // Ends this task as well.
+            drop(self.state_mut().watch.late_calls.take(id));
+            return;
+        };
+        let Some(generation) = self.state_mut().watch.adopt(id) else {
+            return;
+        };
+        log::line(&format!(
+            "discovery: the watch at {} was opened {:?} after it was called",
+            request.discovery,
+            call.begun_at.elapsed()
+        ));
+        request.generation = generation;
+        self.follow_watch(request, Ok(watch)).await;
+    }
+
+    fn count_call(&self, call: &WatchCall, end: DiscoveryCallEnd) {
+        let metrics = self.metrics();
+        let mut counters = metrics.counters_mut();
+        counters.discovery_calls_ended(end, 1);
+        if matches!(end, DiscoveryCallEnd::Opened | DiscoveryCallEnd::OpenedLate) {
+            counters
+                .discovery_answer_times
+                .record(call.begun_at.elapsed());
+        }
+    }
+
+    /// Runs a watch until it ends, if the call for it was successful. In push mode, calls for the
+    /// next one after that; otherwise the balancer decides when to poll again.
+    async fn follow_watch(self, request: WatchRequest, answer: Result<OpenWatch, WatchError>) {
+        let end = match answer {
             Ok(watch) => {
+                self.record_open_watch();
                 watch
                     .follow(|event| self.apply_event(event, &request))
                     .await
@@ -117,22 +222,11 @@
         }
     }
 
-    /// Opens a watch, and counts how the call ended.
-    async fn open_watch(&self, request: &WatchRequest) -> Result<OpenWatch, WatchError> {
-        let called_at = Instant::now();
-        let limit = request.timeouts.response;
-        let opened = timeout(limit, open_watch(request.discovery, request.since)).await;
+    fn record_open_watch(&self) {
+        let superseded = self.state_mut().watch.record_open();
         let metrics = self.metrics();
         let mut counters = metrics.counters_mut();
-        counters.discovery_call_ended(match &opened {
-            Ok(Ok(_)) => DiscoveryCallEnd::Opened,
-            Ok(Err(_)) => DiscoveryCallEnd::Failed,
-            Err(_) => DiscoveryCallEnd::Unanswered,
-        });
-        if let Ok(Ok(_)) = &opened {
-            counters.discovery_answer_times.record(called_at.elapsed());
-        }
-        opened.unwrap_or(Err(WatchError::NoResponse(limit)))
+        counters.discovery_calls_ended(DiscoveryCallEnd::Superseded, superseded);
     }
 
     fn apply_event(&self, event: WatchEvent, request: &WatchRequest) {
--- a/proxy/src/control/mod.rs
+++ b/proxy/src/control/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! This file has the state, the event loop and the dispatch of actions. Each part of the state is
 //! owned by a type in its own module, which does not depend on this file: `clock`,
-//! `connection_pool`, `deadline_timer`, `endpoints`, `in_flight`, `shutdown`, `watch`. The
+//! `connection_pool`, `deadline_timer`, `endpoints`, `in_flight`, `late_calls`, `shutdown`, `watch`. The
 //! operations on these parts are in `attempt`, `attempt_lifecycle`, `background`, `endpoint_list`,
 //! `metrics_report`, `reload` and `request_lifecycle`, which extend [`Control`] and its state.
 
@@ -18,6 +18,7 @@
 mod endpoint_list;
 mod endpoints;
 mod in_flight;
+mod late_calls;
 mod metrics_report;
 mod reload;
 pub mod request;
@@ -47,6 +48,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 
 struct ControlState {
     clock: Clock,
@@ -121,6 +123,8 @@
             }
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::SetTimer { after } => self.timer.set(Duration::from_micros(after)),
+            // A late call may have opened a watch since the balancer planned to poll.
+            Action::Subscribe if self.watch.is_open() => {}
             Action::Subscribe => self.subscribe(control),
             Action::Log(event) => log::line(&event.to_string()),
             // The endpoints offer no health checks, and the settings do not enable them.
@@ -189,6 +193,22 @@
         self.0.borrow_mut()
     }
 
+    /// Reserves a connection, and makes room for one if necessary by closing that of a slow client.
+    async fn reserve_connection(&self) -> Option<ConnectionPermit> {
+        loop {
+            let permit = self.state_mut().reserve_connection();
+            if permit.is_some() {
+                return permit;
+            }
+            let need = self.state().connection_need();
+            if !self.memory().reclaim(need) {
+                return None;
+            }
+            // What was given up is free when the tasks that held it are dropped.
+            yield_now().await;
+        }
+    }
+
     /// The event loop: appends these events to the queue, and lets the balancer handle queued
     /// events, including those that result from its actions, until none is left.
     fn dispatch(&self, events: impl IntoIterator<Item = Event>) {
--- a/proxy/src/control/watch.rs
+++ b/proxy/src/control/watch.rs
@@ -1,5 +1,6 @@
 //! The state of the watch of the endpoint list.
 
+use crate::control::late_calls::{LateCallId, LateCalls};
 use crate::discovery::WatchEnd;
 use crate::log;
 use crate::task::ScopedTask;
@@ -23,6 +24,10 @@
     /// Number of the current watch. Events of watches with other numbers are ignored.
     generation: u64,
     task: Option<ScopedTask>,
+    /// Whether the current watch is open.
+    is_open: bool,
+    /// Earlier calls that are still waited for.
+    pub(super) late_calls: LateCalls,
     /// Whether the last attempt to open a watch failed.
     last_open_failed: bool,
     /// Whether the last watch that could be opened was brief, see [`WatchEnd::was_brief`].
@@ -35,12 +40,34 @@
         self.generation == generation
     }
 
+    /// Whether the current watch is open.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open
+    }
+
     /// Returns the generation of a new watch, which replaces the current one.
     pub(super) fn next_generation(&mut self) -> u64 {
+        self.is_open = false;
         self.generation += 1;
         self.generation
     }
 
+    /// Records that the current watch was opened. Returns the number of late calls that it
+    /// supersedes.
+    pub(super) fn record_open(&mut self) -> usize {
+        self.is_open = true;
+        self.late_calls.give_up()
+    }
+
+    /// Makes the watch that a late call has opened the current one, and returns its generation.
+    /// `None` if the call is no longer waited for.
+    pub(super) fn adopt(&mut self, id: LateCallId) -> Option<u64> {
+        let task = self.late_calls.take(id)?;
+        let generation = self.next_generation();
+        self.set_task(task);
+        Some(generation)
+    }
+
     /// Sets the task of the current watch and aborts the task of the previous one.
     pub(super) fn set_task(&mut self, task: ScopedTask) {
         self.task = Some(task);
@@ -48,7 +75,8 @@
 
     /// Stops the current watch and ignores its remaining events.
     pub(super) fn stop(&mut self) {
-        self.generation += 1;
+        self.next_generation();
+        self.late_calls.give_up();
         self.task = None;
     }
 
@@ -59,6 +87,7 @@
     /// row, or [`ListUpdate::PollFailed`]; after these two it backs off.
     pub(super) fn record_end(&mut self, discovery: SocketAddr, end: &WatchEnd) -> ListUpdate {
         let was_open = end.open_for.is_some();
+        self.is_open = false;
         if was_open || !self.last_open_failed {
             let (event, next) = if was_open {
                 ("ended", "it will be opened again")
--- a/proxy/src/metrics/counters.rs
+++ b/proxy/src/metrics/counters.rs
@@ -108,9 +108,11 @@
         *self.abandoned_requests.entry(reason).or_default() += 1;
     }
 
-    /// Counts a call to discovery that has ended.
-    pub fn discovery_call_ended(&mut self, end: DiscoveryCallEnd) {
-        *self.discovery_calls.entry(end).or_default() += 1;
+    /// Counts calls to discovery that have ended.
+    pub fn discovery_calls_ended(&mut self, end: DiscoveryCallEnd, count: usize) {
+        if count > 0 {
+            *self.discovery_calls.entry(end).or_default() += count as u64;
+        }
     }
 
     /// Counts a client connection that the proxy has closed.
--- a/proxy/src/metrics/reasons.rs
+++ b/proxy/src/metrics/reasons.rs
@@ -19,10 +19,14 @@
 pub enum DiscoveryCallEnd {
     /// The watch was opened.
     Opened,
+    /// The watch was opened after the time from which on the call counts as unanswered.
+    OpenedLate,
     /// It failed: no connection, a rejection, or a response that could not be read.
     Failed,
-    /// No response arrived in time.
+    /// No response arrived for as long as it was waited for.
     Unanswered,
+    /// Another call was answered first.
+    Superseded,
 }
 
 /// Why the proxy closed a client's connection.
--- a/proxy/tests/common/paused_time_proxy.rs
+++ b/proxy/tests/common/paused_time_proxy.rs
@@ -59,7 +59,7 @@
         PausedTimeProxy::start_with_seed(1, mode, balancer_count, discovery, endpoint).await
     }
 
-    /// Starts a proxy and sends one request, which leaves an idle connection to the endpoint.
+    /// Starts a proxy with this seed.
     pub(crate) async fn start_with_seed(
         seed: u64,
         mode: &str,
@@ -67,11 +67,24 @@
         discovery: &ScriptedDiscovery,
         endpoint: TestEndpoint,
     ) -> PausedTimeProxy {
-        let config = configuration(discovery.address, from_ref(&endpoint), |config| {
+        PausedTimeProxy::start_with(discovery, endpoint, |config| {
             config["seed"] = format!("{seed:x}").into();
             config["settings"]["discovery"] = mode.into();
             config["settings"]["balancers"] = balancer_count.into();
+        })
+        .await
+    }
+
+    /// Starts a proxy, whose configuration `change` edits, and sends one request, which leaves an
+    /// idle connection to the endpoint.
+    pub(crate) async fn start_with(
+        discovery: &ScriptedDiscovery,
+        endpoint: TestEndpoint,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> PausedTimeProxy {
+        let config = configuration(discovery.address, from_ref(&endpoint), |config| {
             config["settings"]["invariants"]["ask_every_us"] = 10_000_000.into();
+            change(config);
         });
         let parsed = Config::parse(&config).expect("invalid configuration");
         let clients =
--- a/proxy/tests/common/scripted_discovery.rs
+++ b/proxy/tests/common/scripted_discovery.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Number of connections with a response, which may be empty, that the proxy has not closed.
+    pub(crate) fn open_connection_count(&self) -> usize {
+        let connections = self.open_connections.borrow();
+        let is_open = |stream: &&TcpStream| stream.try_read(&mut [0]).is_err();
+        connections.iter().filter(is_open).count()
+    }
+
     /// Resets all open connections.
     pub(crate) fn reset(&self) {
         for stream in self.open_connections.borrow_mut().drain(..) {
