Test that a late answer is kept and that the other calls are given up

Cause: two guards of the waiting for late answers of discovery had no test that fails without them. Measured: both pass; each failed with its guard taken out on a scratch copy (0 of 1 watch open; the calls stayed open).

--- a/proxy/tests/slow_discovery.rs
+++ b/proxy/tests/slow_discovery.rs
@@ -210,3 +210,43 @@
         });
     }
 }
+
+/// The balancer plans the next poll when one was not answered in time. A late answer that opens the
+/// watch meanwhile makes that poll unnecessary; it would replace the watch before its list arrives.
+#[test]
+fn a_watch_that_a_late_answer_opened_is_not_replaced_by_a_planned_poll() {
+    run_with_paused_time(async {
+        let endpoint = TestEndpoint::start([ok("served")]).await;
+        let opened_after = Duration::from_millis(2_600);
+        let script = [RespondAfter(opened_after, WATCH_HEAD.to_owned())]
+            .into_iter()
+            .chain(repeat_response(REJECTED, MANY));
+        let discovery = ScriptedDiscovery::start(script).await;
+        let grace = Duration::from_millis(400);
+        let _proxy = start_proxy("ask", grace, &discovery, endpoint).await;
+        // Until shortly before the watch has been silent for 2.5 s.
+        for _ in 0..490 {
+            advance(10 * MS).await;
+            run_ready_tasks().await;
+        }
+        assert_eq!(discovery.open_connection_count(), 1);
+    });
+}
+
+/// Once a call has opened a watch, the earlier ones are not waited for any more.
+#[test]
+fn other_calls_are_given_up_when_one_is_answered() {
+    run_with_paused_time(async {
+        let endpoint = TestEndpoint::start([ok("served")]).await;
+        let script = repeat_response(NO_RESPONSE, 4);
+        let discovery = ScriptedDiscovery::start(script.into_iter().chain([NO_UPDATES()])).await;
+        let grace = Duration::from_millis(400);
+        let _proxy = start_proxy("push", grace, &discovery, endpoint).await;
+        advance_until("discovery has the call that it answers", || {
+            discovery.request_count.get() == 5
+        })
+        .await;
+        run_ready_tasks().await;
+        assert_eq!(discovery.open_connection_count(), 1);
+    });
+}
