Play slow agents and slow long responses in the soak test, and report both faults

Change: in three of ten seeds (has_slow_peers) half of the agents answer each call after 0.05 to 2 s, some lists come as late after their heads, endpoints drain for up to 10 s, and one response in twenty is long and written in 0.5 to 3 s, in each framing. Such a proxy counts as notified as a polling one does. Of the slow responses of a framing half have to be forwarded.

--- a/soak/src/agent.rs
+++ b/soak/src/agent.rs
@@ -6,18 +6,23 @@
 use crate::shared_state::SharedState;
 use rand::Rng;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, AbortHandle, JoinSet};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 /// Response to a watch that the agent refuses.
 const REFUSAL_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 /// Head of the response to a watch; the lines of the list follow as chunks.
 const WATCH_RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Shortest time by which a slow agent delays the head of its answer, or the list, in milliseconds.
+const MIN_SLOW_ANSWER_MS: u64 = 50;
+/// Longest such time, in milliseconds.
+const MAX_SLOW_ANSWER_MS: u64 = 2_000;
+
 /// How the agent of a proxy behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AgentMode {
@@ -53,6 +58,8 @@
         .map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
     let shared = shared.clone();
+    let is_slow = shared.config().has_slow_peers && shared.draw_bool(0.5);
+    let head_delay = is_slow.then(|| shared.draw_millis(MIN_SLOW_ANSWER_MS, MAX_SLOW_ANSWER_MS));
     let task = spawn_local(async move {
         let mut watches = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
@@ -63,6 +70,7 @@
                 proxy,
                 reader: Reader::new(stream),
                 mode: mode.clone(),
+                head_delay,
             };
             watches.spawn_local(watch.serve());
         }
@@ -79,6 +87,8 @@
     proxy: usize,
     reader: Reader,
     mode: watch::Receiver<AgentMode>,
+    /// How long a slow agent takes for the head of its answer.
+    head_delay: Option<Duration>,
 }
 
 impl Watch {
@@ -95,7 +105,23 @@
                 return;
             }
         }
+        if let Some(delay) = self.head_delay {
+            sleep(delay).await;
+        }
+        let mode = *self.mode.borrow_and_update();
+        match mode {
+            AgentMode::Responding => {}
+            AgentMode::Silent => return self.stay_silent().await,
+            AgentMode::Refusing => return,
+        }
         if write(&mut self.reader.stream, WATCH_RESPONSE_HEAD).await {
+            if self.head_delay.is_some() && self.shared.draw_bool(0.3) {
+                sleep(
+                    self.shared
+                        .draw_millis(MIN_SLOW_ANSWER_MS, MAX_SLOW_ANSWER_MS),
+                )
+                .await;
+            }
             self.deliver().await;
         }
     }
--- a/soak/src/clients/exchange.rs
+++ b/soak/src/clients/exchange.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::request::DrawnRequest;
 use crate::http::{set_close_mode, CloseMode, Message, ReadError, ReadPace, Reader};
+use crate::ledger::RequestRecord;
 use crate::proxy::Proxy;
 use crate::shared_state::SharedState;
 use rand::Rng;
@@ -14,6 +15,8 @@
 const EXTRA_WAIT: Duration = Duration::from_secs(3);
 /// The same for a client that reads slowly: the longest response takes it that long.
 const SLOW_READER_EXTRA_WAIT: Duration = Duration::from_secs(30);
+/// How much longer a client waits where endpoints may respond slowly.
+const SLOW_RESPONSE_EXTRA_WAIT: Duration = Duration::from_secs(3);
 /// Number of bytes that a client reads at once if it reads slowly.
 const SLOW_READ_BYTES: usize = 16 << 10;
 
@@ -66,11 +69,14 @@
         if connection.reader.pace.is_some() {
             wait.duration += SLOW_READER_EXTRA_WAIT;
         }
+        if shared.config().has_slow_peers && !wait.disconnects {
+            wait.duration += SLOW_RESPONSE_EXTRA_WAIT;
+        }
         let read = timeout(wait.duration, connection.reader.read_message()).await;
         let is_slow = connection.reader.pace.take().is_some();
         match read {
             Ok(Ok(message)) => {
-                record_response(shared, id, &message, is_slow);
+                record_message(shared, id, &message, is_slow);
                 return message.header("connection") != Some("close");
             }
             Ok(Err(ReadError::Closed)) if may_resend && was_closed_between_requests(shared, id) => {
@@ -103,9 +109,16 @@
     })
 }
 
-/// Records a response. Of a client that reads slowly only the beginning has to come in time.
-fn record_response(shared: &SharedState, id: u64, message: &Message, is_slow: bool) {
-    let at = if is_slow {
+/// Records a response. If its client or its endpoint is slow, only the beginning has to come in
+/// time.
+pub(super) fn record_message(
+    shared: &SharedState,
+    id: u64,
+    message: &Message,
+    is_client_slow: bool,
+) {
+    let has_slow_response = shared.read_request(id, RequestRecord::has_slow_response);
+    let at = if is_client_slow || has_slow_response == Some(true) {
         message.first_byte_at
     } else {
         Instant::now()
--- a/soak/src/clients/pipelining.rs
+++ b/soak/src/clients/pipelining.rs
@@ -1,6 +1,7 @@
 //! Sends pipelined requests on a connection and reads their responses in order.
 
 use super::connection::Connection;
+use super::exchange::record_message;
 use super::request;
 use crate::http::{Message, ReadError};
 use crate::proxy::Proxy;
@@ -87,7 +88,7 @@
     let Some((&answered, following)) = open.split_first() else {
         return false;
     };
-    shared.with_ledger(|ledger| ledger.record_completion(answered, message.status, &message.body));
+    record_message(shared, answered, message, false);
     if let Some(&next) = following.first() {
         // Responses come in order, so the next request's timeout begins only now.
         shared.update_request(next, |record| {
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -55,6 +55,9 @@
     /// Whether some bodies exceed the buffers of the system, some clients read slowly, and some
     /// endpoints send a response twice.
     pub(crate) has_large_messages: bool,
+    /// Whether half of the agents answer all calls late, and endpoints write some long responses
+    /// slowly.
+    pub(crate) has_slow_peers: bool,
 }
 
 impl RunConfig {
@@ -72,6 +75,7 @@
         let has_crowds = random.gen_bool(0.6);
         let deadline_divisor = if random.gen_bool(0.4) { 4 } else { 1 };
         let has_large_messages = random.gen_bool(0.5);
+        let has_slow_peers = random.gen_bool(0.3);
         RunConfig {
             proxy_count,
             discovery: if pushed {
@@ -91,6 +95,17 @@
             deadline_divisor,
             has_crowds,
             has_large_messages,
+            has_slow_peers,
+        }
+    }
+
+    /// The mode that decides when a proxy counts as notified of a change. A slow agent has what
+    /// discovery has only when it answers, so the limit of a polled list applies to it.
+    pub(crate) fn notification_mode(&self) -> DiscoveryMode {
+        if self.has_slow_peers {
+            DiscoveryMode::Poll
+        } else {
+            self.discovery
         }
     }
 
--- a/soak/src/endpoint_response.rs
+++ b/soak/src/endpoint_response.rs
@@ -2,9 +2,10 @@
 //! invalid and error responses.
 
 use crate::endpoint::Behaviour;
-use crate::ledger::response_body;
+use crate::ledger::{response_body, Framing};
 use crate::shared_state::SharedState;
 use rand::Rng;
+use std::time::Duration;
 
 /// Response that rejects a request without executing it.
 pub(crate) const REJECTION_RESPONSE: &[u8] =
@@ -18,6 +19,8 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 ];
 
+/// Share of the responses that are written slowly, in runs with slow peers.
+const SLOW_RESPONSE_SHARE: f64 = 0.05;
 /// Length of the chunks of a chunked response.
 const CHUNK_BYTES: usize = 700;
 
@@ -47,19 +50,8 @@
     ERROR_RESPONSES[shared.draw(|random| random.gen_range(0..ERROR_RESPONSES.len()))].as_bytes()
 }
 
-/// How a response gives the end of its body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// With the end of the connection.
-    Close,
-    /// With its last chunk.
-    Chunks,
-    /// With its length.
-    Length,
-}
-
 impl Framing {
-    fn draw(shared: &SharedState) -> Framing {
+    pub(crate) fn draw(shared: &SharedState) -> Framing {
         match shared.draw(|random| random.gen_range(0..4)) {
             0 => Framing::Close,
             1 => Framing::Chunks,
@@ -103,6 +95,46 @@
     plan_success_response(&body, framing, is_half_written, resets, after)
 }
 
+/// A long response that is written slowly: in pieces, with a pause after each.
+pub(crate) struct PacedResponse {
+    /// The response.
+    pub(crate) planned: PlannedResponse,
+    /// How it gives the end of its body.
+    pub(crate) framing: Framing,
+    /// Length of a piece.
+    pub(crate) piece_bytes: usize,
+    /// Pause after each piece.
+    pub(crate) pause: Duration,
+}
+
+/// Draws a long response with status 200 that is written slowly. `None` if this response is an
+/// ordinary one.
+pub(crate) fn draw_paced_response(shared: &SharedState, id: u64) -> Option<PacedResponse> {
+    if !shared.config().has_slow_peers || !shared.draw_bool(SLOW_RESPONSE_SHARE) {
+        return None;
+    }
+    let (length, piece_count, seconds) = shared.draw(|random| {
+        (
+            random.gen_range(70_000..200_000),
+            random.gen_range(2..40),
+            random.gen_range(0.5..3.0),
+        )
+    });
+    let framing = Framing::draw(shared);
+    let after = match framing {
+        Framing::Close => AfterResponse::Close,
+        Framing::Chunks | Framing::Length => AfterResponse::KeepAlive,
+    };
+    let body = response_body(id, length);
+    let planned = plan_success_response(&body, framing, false, false, after);
+    Some(PacedResponse {
+        piece_bytes: planned.bytes.len().div_ceil(piece_count),
+        planned,
+        framing,
+        pause: Duration::from_secs_f64(seconds / piece_count as f64),
+    })
+}
+
 /// Plans a response with status 200 and this body, or only the first half of it.
 fn plan_success_response(
     body: &[u8],
--- a/soak/src/endpoint_server.rs
+++ b/soak/src/endpoint_server.rs
@@ -2,10 +2,10 @@
 //! receive and respond according to the behaviour of their process.
 
 use crate::endpoint::{Behaviour, EndpointProcess, ProcessState};
-use crate::endpoint_response::{self, AfterResponse};
+use crate::endpoint_response::{self, AfterResponse, PacedResponse};
 use crate::error::SetupError;
 use crate::http::{set_close_mode, CloseMode, Message, ReadError, ReadPace, Reader};
-use crate::ledger::{AttemptRecord, Rule};
+use crate::ledger::{AttemptRecord, Rule, SlowResponse};
 use crate::shared_state::SharedState;
 use rand::Rng;
 use std::cell::Cell;
@@ -189,6 +189,7 @@
             rejected: false,
             served: false,
             fully_written: false,
+            slow_response: None,
         }
     }
 
@@ -245,6 +246,11 @@
         reader: &mut Reader,
         behaviour: Behaviour,
     ) -> AfterResponse {
+        if behaviour == Behaviour::Normal {
+            if let Some(response) = endpoint_response::draw_paced_response(&self.shared, id) {
+                return self.respond_slowly(id, attempt, reader, response).await;
+            }
+        }
         let response = endpoint_response::draw_success_response(&self.shared, id, behaviour);
         // This must precede the write: the client may check the response before this task goes on.
         self.shared
@@ -269,6 +275,37 @@
     }
 }
 
+impl Server {
+    async fn respond_slowly(
+        &self,
+        id: u64,
+        attempt: usize,
+        reader: &mut Reader,
+        response: PacedResponse,
+    ) -> AfterResponse {
+        self.is_last_response_large.set(true);
+        let slow_response = SlowResponse {
+            framing: response.framing,
+            began_at: Instant::now(),
+        };
+        self.shared.update_attempt(id, attempt, |record| {
+            record.served = true;
+            record.slow_response = Some(slow_response);
+        });
+        let pieces = response.planned.bytes.chunks(response.piece_bytes);
+        for (number, piece) in pieces.enumerate() {
+            // None behind the last piece: the connection may carry the next request then.
+            if number > 0 {
+                sleep(response.pause).await;
+            }
+            if write(reader, piece, AfterResponse::KeepAlive).await == AfterResponse::Reset {
+                return AfterResponse::Reset;
+            }
+        }
+        response.planned.after
+    }
+}
+
 /// Writes a response or a part of one. Returns `after`, or a reset if writing fails.
 async fn write(reader: &mut Reader, bytes: &[u8], after: AfterResponse) -> AfterResponse {
     match reader.stream.write_all(bytes).await {
--- a/soak/src/faults/mod.rs
+++ b/soak/src/faults/mod.rs
@@ -18,6 +18,9 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
+/// Longest time for which an endpoint drains in runs with slow peers, in seconds.
+const LONGEST_DRAIN_S: f64 = 10.0;
+
 /// A fault that can be injected. The report prints the names of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -161,7 +164,14 @@
             Ok(())
         }
         Fault::EndpointDrain => {
-            let replacement_delay = shared.draw_seconds(0.6, 3.0);
+            // A proxy that a slow agent does not reach sends to a draining endpoint for as long as
+            // that runs, which shows only after the time in which it has to be notified.
+            let max_delay_s = if shared.config().has_slow_peers {
+                LONGEST_DRAIN_S
+            } else {
+                3.0
+            };
+            let replacement_delay = shared.draw_seconds(0.6, max_delay_s);
             endpoints::replace_process(shared, replacement_delay, true).await
         }
         Fault::EndpointCrash => {
--- a/soak/src/ledger/mod.rs
+++ b/soak/src/ledger/mod.rs
@@ -3,11 +3,14 @@
 
 mod records;
 mod rules;
+mod slow_responses;
 #[cfg(test)]
 mod tests;
 mod timeline;
 
-pub(crate) use records::{AttemptRecord, Completion, RequestClass, RequestRecord, Rule, Violation};
+pub(crate) use records::{
+    AttemptRecord, Completion, Framing, RequestClass, RequestRecord, Rule, SlowResponse, Violation,
+};
 pub(crate) use rules::response_body;
 
 use crate::config::RunConfig;
@@ -194,6 +197,14 @@
         }
     }
 
+    /// Records a violation for each framing in which most slow responses were not forwarded. To be
+    /// called at the end of a run.
+    pub(crate) fn record_cut_off_responses(&mut self) {
+        for cut_off in slow_responses::mostly_cut_off(self.requests.values()) {
+            self.record_violation(Rule::Lost, cut_off.to_string());
+        }
+    }
+
     /// Records a violation for each request that was written and still lacks its response. To be
     /// called at the end of a run.
     pub(crate) fn record_unanswered_requests(&mut self) {
--- a/soak/src/ledger/records.rs
+++ b/soak/src/ledger/records.rs
@@ -36,6 +36,26 @@
     }
 }
 
+/// How a response gives the end of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// With the end of the connection.
+    Close,
+    /// With its last chunk.
+    Chunks,
+    /// With its length.
+    Length,
+}
+
+/// A long response that its endpoint writes slowly.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlowResponse {
+    /// How it gives the end of its body.
+    pub(crate) framing: Framing,
+    /// Time at which the endpoint began to write it.
+    pub(crate) began_at: Instant,
+}
+
 /// An attempt as its endpoint saw it.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptRecord {
@@ -55,6 +75,8 @@
     pub(crate) served: bool,
     /// Whether the endpoint wrote all of that response and did not reset the connection after it.
     pub(crate) fully_written: bool,
+    /// The endpoint's response, if it is a long one that is written slowly.
+    pub(crate) slow_response: Option<SlowResponse>,
 }
 
 impl AttemptRecord {
@@ -105,6 +127,13 @@
 }
 
 impl RequestRecord {
+    /// Whether an endpoint has responded slowly.
+    pub(crate) fn has_slow_response(&self) -> bool {
+        self.attempts
+            .iter()
+            .any(|attempt| attempt.slow_response.is_some())
+    }
+
     /// Whether the proxy must still send the client a response.
     pub(crate) fn is_unanswered(&self) -> bool {
         self.completion.is_none() && self.disconnected_at.is_none() && !self.response_not_required
--- a/soak/src/ledger/tests.rs
+++ b/soak/src/ledger/tests.rs
@@ -42,6 +42,7 @@
         rejected: false,
         served: false,
         fully_written: false,
+        slow_response: None,
     }
 }
 
@@ -281,3 +282,36 @@
         "an endpoint that was killed may truncate its responses"
     );
 }
+
+/// Adds requests whose endpoints responded slowly with this framing, and the statuses that their
+/// clients got, and returns the rules that this breaks.
+fn rules_broken_by_slow_responses(framing: Framing, statuses: [u16; 4]) -> Vec<Rule> {
+    let mut ledger = ledger(false);
+    for (id, status) in (1..).zip(statuses) {
+        let mut request = request(RequestClass::Keyed);
+        request.completion = Some(Completion {
+            status: Some(status),
+            at: Instant::now(),
+        });
+        request.attempts.push(AttemptRecord {
+            slow_response: Some(SlowResponse {
+                framing,
+                began_at: Instant::now(),
+            }),
+            ..attempt(0)
+        });
+        ledger.requests.insert(id, request);
+    }
+    ledger.record_cut_off_responses();
+    recorded_rules(&ledger)
+}
+
+#[test]
+fn less_than_half_of_the_slow_responses_of_a_framing_forwarded_is_a_loss() {
+    for framing in [Framing::Close, Framing::Chunks, Framing::Length] {
+        let broken = rules_broken_by_slow_responses(framing, [200, 502, 502, 503]);
+        assert_eq!(broken, [Rule::Lost]);
+        let broken = rules_broken_by_slow_responses(framing, [200, 502, 200, 503]);
+        assert_eq!(broken, []);
+    }
+}
--- a/soak/src/shared_state/tests.rs
+++ b/soak/src/shared_state/tests.rs
@@ -68,6 +68,7 @@
         rejected: false,
         served: false,
         fully_written: false,
+        slow_response: None,
     };
     let before = count_violations(shared, Rule::Drain);
     shared.record_attempt(request, attempt, None, &[]);
--- a/soak/src/test_support.rs
+++ b/soak/src/test_support.rs
@@ -20,5 +20,6 @@
         deadline_divisor: 1,
         has_crowds: false,
         has_large_messages: false,
+        has_slow_peers: false,
     }
 }
--- a/soak/src/verdict.rs
+++ b/soak/src/verdict.rs
@@ -28,6 +28,7 @@
 ) -> bool {
     let violations = shared.with_ledger(|ledger| {
         ledger.record_unanswered_requests();
+        ledger.record_cut_off_responses();
         println!(
             "requests: {:?}, longest scheduling delay of this program: {scheduling_delay:?}",
             count_completions(ledger)
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -4,15 +4,18 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-/// Seeds with crowds, and with short deadlines in the second; with large messages in the third.
-const SEEDS: [u64; 3] = [
+/// Seeds with crowds, and with short deadlines in the second; with large messages in the third, and
+/// with slow agents and endpoints in the fourth.
+const SEEDS: [u64; 4] = [
     WITH_CROWDS,
     WITH_CROWDS_AND_SHORT_DEADLINES,
     WITH_LARGE_MESSAGES,
+    WITH_SLOW_PEERS,
 ];
 const WITH_CROWDS: u64 = 3_001;
 const WITH_CROWDS_AND_SHORT_DEADLINES: u64 = 3_102;
 const WITH_LARGE_MESSAGES: u64 = 7_101;
+const WITH_SLOW_PEERS: u64 = 9_238;
 /// How often a run is repeated that could not be judged, as this machine was too busy to tell the
 /// times of events.
 const MAX_RUNS: usize = 3;
