Close a slow client's connection for the first late call to discovery alone

A late call took a place for a connection to an endpoint even when there was no room for one more late call, and closed the connection of a slow client for it; beside a silent agent and a crowd that could be six a second. Change: places are looked for only if there is room for the call, and only the first call makes room by closing. Measured: the tests of slow discovery, of its propagation and of discovery pass (8, 4 and 6).

--- a/proxy/src/control/endpoint_list.rs
+++ b/proxy/src/control/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! Watches the endpoint list and applies the lists and updates that arrive.
 
-use crate::control::late_calls::LateCallId;
+use crate::control::late_calls::{LateCallId, MAX_LATE_CALLS};
 use crate::control::{Control, ControlState};
 use crate::discovery::{
     open_watch, EndpointList, OpenWatch, WatchEnd, WatchError, WatchEvent, WatchTimeouts,
@@ -9,6 +9,7 @@
 use crate::memory::{MemoryUse, ENDPOINT_ENTRY_BYTES};
 use crate::metrics::DiscoveryCallEnd;
 use crate::task;
+use crate::upstream::ConnectionPermit;
 use balancer::{Event, ListUpdate};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -136,13 +137,11 @@
 
     /// Goes on waiting for a call that was not answered in time, beside others, if there is room.
     async fn wait_beside_others(&self, request: &WatchRequest, call: WatchCall) {
-        let permit = self.reserve_connection().await;
-        let mut state = self.state_mut();
-        let late_calls = &mut state.watch.late_calls;
-        let Some(permit) = permit.filter(|_| late_calls.has_room()) else {
-            drop(state);
+        let Some(permit) = self.reserve_late_call().await else {
             return self.count_call(&call, DiscoveryCallEnd::Unanswered);
         };
+        let mut state = self.state_mut();
+        let late_calls = &mut state.watch.late_calls;
         let patience = request.timeouts.patience(&late_calls.patiences());
         let (control, request) = (self.clone(), request.clone());
         late_calls.add(patience, permit, |id| {
@@ -150,6 +149,17 @@
         });
     }
 
+    /// Takes a place for a late call. Only for the first one a slow client's connection may be closed,
+    /// as a silent discovery is called several times a second.
+    async fn reserve_late_call(&self) -> Option<ConnectionPermit> {
+        let pending_count = self.state().watch.late_calls.count();
+        match pending_count {
+            0 => self.reserve_connection().await,
+            1..MAX_LATE_CALLS => self.state_mut().reserve_connection(),
+            _ => None,
+        }
+    }
+
     /// Waits for the answer to a call that has waited for too long to be the only one. A watch that
     /// it opens becomes the current one.
     async fn follow_late_call(
--- a/proxy/src/control/late_calls.rs
+++ b/proxy/src/control/late_calls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Maximum number of calls that are waited for beside the current one.
-const MAX_LATE_CALLS: usize = 4;
+pub(super) const MAX_LATE_CALLS: usize = 4;
 
 /// Identifies a late call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,9 +28,9 @@
 }
 
 impl LateCalls {
-    /// Whether one more call can be waited for.
-    pub(super) fn has_room(&self) -> bool {
-        self.calls.len() < MAX_LATE_CALLS
+    /// Number of calls that are waited for.
+    pub(super) fn count(&self) -> usize {
+        self.calls.len()
     }
 
     /// For how long each call is waited for.
