Judge only proxies with a slow agent by the later limit in the soak test

In runs with slow peers every proxy counted as notified of a pushed change as a polling one does, 6 s later, also one whose agent answers at once. That was a looser check than before for half of the proxies of such a run. Change: the later limit applies to a proxy from its first slow agent on; the others keep theirs. The soak's 14 own tests pass.

--- a/soak/src/agent.rs
+++ b/soak/src/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::error::SetupError;
 use crate::http::{set_close_mode, CloseMode, Reader};
-use crate::notification::HEARTBEAT_INTERVAL;
+use crate::notification::{Notifications, HEARTBEAT_INTERVAL};
 use crate::shared_state::SharedState;
 use rand::Rng;
 use std::net::SocketAddr;
@@ -60,6 +60,9 @@
     let shared = shared.clone();
     let is_slow = shared.config().has_slow_peers && shared.draw_bool(0.5);
     let head_delay = is_slow.then(|| shared.draw_millis(MIN_SLOW_ANSWER_MS, MAX_SLOW_ANSWER_MS));
+    if is_slow {
+        shared.with_notifications(proxy, Notifications::record_slow_agent);
+    }
     let task = spawn_local(async move {
         let mut watches = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
--- a/soak/src/config.rs
+++ b/soak/src/config.rs
@@ -99,16 +99,6 @@
         }
     }
 
-    /// The mode that decides when a proxy counts as notified of a change. A slow agent has what
-    /// discovery has only when it answers, so the limit of a polled list applies to it.
-    pub(crate) fn notification_mode(&self) -> DiscoveryMode {
-        if self.has_slow_peers {
-            DiscoveryMode::Poll
-        } else {
-            self.discovery
-        }
-    }
-
     /// The deadline of a class in this run, in milliseconds.
     pub(crate) fn deadline_ms(&self, class: RequestClass) -> u64 {
         class.deadline_ms() / self.deadline_divisor
--- a/soak/src/notification.rs
+++ b/soak/src/notification.rs
@@ -41,6 +41,9 @@
 pub(crate) struct Notifications {
     disruptions: Disruptions,
     deliveries: Vec<Delivery>,
+    /// Whether the proxy has or had an agent that answers late. Such an agent has what discovery has
+    /// only when it answers, so the limit of a polled list applies to the proxy.
+    has_slow_agent: bool,
 }
 
 impl Notifications {
@@ -55,6 +58,11 @@
         self.disruptions.process_started_at = Some(at);
     }
 
+    /// Records that the proxy has an agent that answers late.
+    pub(crate) fn record_slow_agent(&mut self) {
+        self.has_slow_agent = true;
+    }
+
     /// Records that the agent stopped responding.
     pub(crate) fn record_outage_start(&mut self) {
         self.disruptions.outages.push(Outage {
@@ -87,6 +95,11 @@
     /// delivered or when it should have been, whichever is earlier. Returns `None` if the change
     /// has not been delivered and the time by which it should be is not known yet.
     pub(crate) fn notified_at(&self, change: ChangeTime, mode: DiscoveryMode) -> Option<Instant> {
+        let mode = if self.has_slow_agent {
+            DiscoveryMode::Poll
+        } else {
+            mode
+        };
         let started = self.disruptions.process_started_at?;
         let includes_change =
             |delivery: &&Delivery| delivery.at >= started && delivery.version >= change.version;
--- a/soak/src/shared_state/mod.rs
+++ b/soak/src/shared_state/mod.rs
@@ -188,7 +188,7 @@
     fn drain_notified_at(&self, proxy: usize, process: u64) -> Option<Instant> {
         let state = self.inner.borrow();
         let change = state.list.draining_since(process)?;
-        state.notifications[proxy].notified_at(change, self.config.notification_mode())
+        state.notifications[proxy].notified_at(change, self.config.discovery)
     }
 
     fn check_slow_start(&self, process: u64, at: Instant) {
